--- /dev/null
+++ b/src/agent/join.rs
@@ -0,0 +1,132 @@
+//! How an agent joins its cell and leaves it: its row first, the epoch after.
+
+use std::sync::Arc;
+use std::time;
+
+use anyhow::{anyhow, bail};
+use backon::BackoffBuilder;
+use compact_str::CompactString;
+
+use crate::agent::work::Work;
+use crate::decide::inherit;
+use crate::decide::ledger;
+use crate::id;
+use crate::wire::platform::{self, Commit, Transaction};
+use crate::wire::rows;
+
+/// Joins the cell, trying again with growing pauses until the table has answered.
+pub async fn join(cell: id::Cell, addr: CompactString, work: Arc<Work>, table: platform::Table) {
+    let mut pauses = pauses();
+    loop {
+        match try_join(cell, &addr, &work, &table).await {
+            Ok(epoch) => {
+                work.join(epoch);
+                log::info!("agent joined cell {cell} at epoch {epoch}");
+                return;
+            }
+            Err(e) => log::warn!("agent can't join cell {cell} yet: {e}"),
+        }
+        tokio::time::sleep(pauses.next().unwrap_or(time::Duration::from_secs(2))).await;
+    }
+}
+
+fn pauses() -> backon::ExponentialBackoff {
+    backon::ExponentialBuilder::default()
+        .with_min_delay(time::Duration::from_millis(50))
+        .with_max_delay(time::Duration::from_secs(2))
+        .without_max_times()
+        .with_jitter()
+        .build()
+}
+
+/// Writes the row, then reads the epoch.
+///
+/// Guards against an owner of the past that starts tasks on a life which its successor never
+/// fenced: either the successor's read of the members finds the row, or this read finds the
+/// successor's epoch.
+async fn try_join(
+    cell: id::Cell,
+    addr: &CompactString,
+    work: &Work,
+    table: &platform::Table,
+) -> anyhow::Result<id::Epoch> {
+    write_row(cell, addr, work, table).await?;
+    let row = (table.get)(rows::cell(cell)).await;
+    let row = row.map_err(|e| anyhow!("the cell's row can't be read: {e:?}"))?;
+    let Some(row) = row else {
+        return Ok(0);
+    };
+    let owner: rows::Owner = serde_json::from_str(&row.value)?;
+    Ok(owner.epoch)
+}
+
+async fn write_row(
+    cell: id::Cell,
+    addr: &CompactString,
+    work: &Work,
+    table: &platform::Table,
+) -> anyhow::Result<()> {
+    let key = rows::agent(cell, work.id());
+    let before = (table.get)(key.clone()).await;
+    let before = before.map_err(|e| anyhow!("the agent's row can't be read: {e:?}"))?;
+    let revision = before.as_ref().map_or(0, |row| row.revision);
+    let mut row = rows::Agent {
+        incarnation: work.incarnation(),
+        addr: addr.clone(),
+        lost: Vec::new(),
+    };
+    if let Some(before) = before {
+        let before: rows::Agent = serde_json::from_str(&before.value)?;
+        if before.incarnation == work.incarnation() {
+            // The answer to an earlier try was lost after its write took effect.
+            return Ok(());
+        }
+        row.lost = lost_lives(before);
+    }
+    let value = serde_json::to_string(&row)?;
+    match (table.commit)(Transaction::put_if(&key, revision, value)).await {
+        Ok(Commit::Done(_)) => Ok(()),
+        Ok(Commit::Conflict(_)) => bail!("another life of this agent wrote its row"),
+        Err(e) => Err(anyhow!("the agent's row can't be written: {e:?}")),
+    }
+}
+
+/// The lives that ended without a drain, the one before included, as long as they matter.
+fn lost_lives(before: rows::Agent) -> Vec<inherit::LostLife> {
+    let now_ms = since_epoch().as_millis() as u64;
+    let keep_ms = 2 * ledger::RETENTION.as_millis() as u64;
+    let mut lost = before.lost;
+    lost.retain(|life| life.at_ms + keep_ms > now_ms);
+    lost.push(inherit::LostLife {
+        incarnation: before.incarnation,
+        at_ms: now_ms,
+    });
+    lost
+}
+
+fn since_epoch() -> time::Duration {
+    let now = time::SystemTime::now();
+    now.duration_since(time::UNIX_EPOCH).unwrap_or_default()
+}
+
+/// Removes the row of a life that ended with nothing unaccounted for.
+pub async fn leave(cell: id::Cell, work: &Work, table: &platform::Table) {
+    let key = rows::agent(cell, work.id());
+    let Ok(Some(row)) = (table.get)(key.clone()).await else {
+        return;
+    };
+    let Ok(mut agent) = serde_json::from_str::<rows::Agent>(&row.value) else {
+        return;
+    };
+    if agent.incarnation != work.incarnation() {
+        return;
+    }
+    // The lives lost before this one are still to be told, so the row stays while there are any.
+    agent.lost = lost_lives(agent.clone());
+    agent.lost.pop();
+    let mut tx = Transaction::put_if(&key, row.revision, String::new());
+    tx.writes[0].value = None;
+    if agent.lost.is_empty() {
+        let _ = (table.commit)(tx).await;
+    }
+}
--- /dev/null
+++ b/src/agent/work.rs
@@ -0,0 +1,408 @@
+//! The work of an agent: what runs, what waits for a slot, and the answers' way up.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time;
+
+use compact_str::CompactString;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+use crate::agent::Config;
+use crate::code;
+use crate::count;
+use crate::decide::ledger::{self, Ledger};
+use crate::decide::notice::{self, Notice};
+use crate::decide::order::{self, Order};
+use crate::id;
+use crate::metrics;
+use crate::task;
+use crate::wire::agent;
+use crate::wire::backend;
+use crate::wire::http;
+use crate::wire::link;
+
+/// Silence of a backend server after which nothing new is sent to it.
+const BACKEND_SILENCE: time::Duration = time::Duration::from_secs(2);
+
+/// The shared state of an agent's parts.
+pub struct Work {
+    cfg: Config,
+    incarnation: id::Incarnation,
+    http: http::Client,
+    messages: count::Messages,
+    inner: Mutex<Inner>,
+    changed: Notify,
+    spoke: AtomicBool,
+}
+
+struct Inner {
+    ledger: Ledger,
+    backend: Option<Backend>,
+    running: HashMap<task::Id, Running>,
+    waiting: VecDeque<order::Start>,
+    owner: Option<link::Sender<Notice>>,
+    draining: bool,
+}
+
+struct Backend {
+    announcement: backend::Announcement,
+    heard: time::Instant,
+}
+
+struct Running {
+    abort: AbortHandle,
+    since: time::Instant,
+}
+
+impl Work {
+    /// Opens an agent's work for one life.
+    pub fn open(cfg: Config, incarnation: id::Incarnation, messages: count::Messages) -> Arc<Work> {
+        Arc::new(Work {
+            cfg,
+            // JSON numbers of other languages hold 53 bits.
+            incarnation: incarnation >> 11,
+            http: http::open(backend::MAX_ANSWER),
+            messages,
+            inner: Mutex::new(Inner {
+                ledger: Ledger::default(),
+                backend: None,
+                running: HashMap::new(),
+                waiting: VecDeque::new(),
+                owner: None,
+                draining: false,
+            }),
+            changed: Notify::new(),
+            spoke: AtomicBool::new(false),
+        })
+    }
+
+    /// The agent's id.
+    pub fn id(&self) -> &id::AgentId {
+        &self.cfg.id
+    }
+
+    /// This life.
+    pub fn incarnation(&self) -> id::Incarnation {
+        self.incarnation
+    }
+
+    /// Admits the agent to its cell; see [`Ledger::join`].
+    pub fn join(&self, epoch: id::Epoch) {
+        self.lock().ledger.join(epoch);
+    }
+
+    /// Takes the hello of an owner: raises the fence, reports, and speaks to this owner from now.
+    pub fn greet(&self, hello: &agent::Hello, tx: link::Sender<Notice>) {
+        let mut inner = self.lock();
+        if let Err(newest) = inner.ledger.fence(hello.epoch) {
+            let _ = tx.send(Notice::Stale(newest));
+            return;
+        }
+        let welcome = notice::Welcome {
+            incarnation: self.incarnation,
+            failure_domain: self.cfg.failure_domain.clone(),
+            rack: self.cfg.rack.clone(),
+            direct: inner.ledger.direct(),
+            tasks: inner.ledger.report(),
+        };
+        let _ = tx.send(Notice::Welcome(welcome));
+        inner.owner = Some(tx);
+    }
+
+    /// Takes one message of an owner.
+    pub fn take(self: &Arc<Self>, down: agent::Down) {
+        let mut inner = self.lock();
+        let now = time::Instant::now();
+        // A restarted agent has a new life; orders to the old one mean nothing to it.
+        if down.incarnation != self.incarnation {
+            return;
+        }
+        if down.epoch < inner.ledger.epoch() {
+            let newest = inner.ledger.epoch();
+            inner.tell(Notice::Stale(newest));
+            return;
+        }
+        for order in down.orders {
+            self.obey(&mut inner, now, down.epoch, order);
+        }
+        self.fill(&mut inner);
+    }
+
+    fn obey(&self, inner: &mut Inner, now: time::Instant, epoch: id::Epoch, order: Order) {
+        match order {
+            Order::Start(start) => inner.accept(now, epoch, start),
+            Order::Cancel(job) => self.cancel(inner, now, epoch, &job),
+            Order::Acknowledge(job) => {
+                inner.ledger.acknowledge(epoch, &job);
+                self.changed.notify_waiters();
+            }
+            Order::Resolve(ids) => inner.resolve(now, epoch, &ids),
+            Order::Direct => inner.ledger.announce_direct(epoch),
+            Order::Heartbeat => {}
+        }
+    }
+
+    fn cancel(&self, inner: &mut Inner, now: time::Instant, epoch: id::Epoch, job: &id::JobKey) {
+        let started = inner.ledger.cancel(now, epoch, job);
+        for id in started {
+            if let Some(running) = inner.running.remove(&id) {
+                // Dropping the exchange closes its connection, which tells the backend server.
+                running.abort.abort();
+                let outcome = task::Outcome::Failed(code::Code::Cancelled);
+                let ran_us = now.saturating_duration_since(running.since).as_micros() as u64;
+                inner.ledger.finish(now, &id, outcome.clone(), ran_us);
+                inner.tell(Notice::Answer(notice::Answer {
+                    id,
+                    outcome,
+                    ran_us,
+                }));
+            } else {
+                inner.waiting.retain(|start| start.id != id);
+                inner.ledger.unstart(now, &id);
+                inner.tell(Notice::Refused(id, code::Code::Burned));
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Starts what waits, as far as there are slots.
+    fn fill(self: &Arc<Self>, inner: &mut Inner) {
+        let now = time::Instant::now();
+        while inner.running.len() < inner.slots(now) as usize {
+            let Some(start) = inner.waiting.pop_front() else {
+                return;
+            };
+            let Some(backend) = &inner.backend else {
+                return;
+            };
+            let addr = backend.announcement.addr.clone();
+            let id = start.id.clone();
+            let work = self.clone();
+            let handle = tokio::spawn(async move { work.run(addr, start).await });
+            let running = Running {
+                abort: handle.abort_handle(),
+                since: now,
+            };
+            inner.running.insert(id, running);
+        }
+    }
+
+    async fn run(self: Arc<Self>, addr: CompactString, start: order::Start) {
+        let id = start.id.clone();
+        self.messages.add(count::Kind::Backend, 2);
+        let begun = time::Instant::now();
+        let outcome = backend::run(
+            &self.http,
+            backend::Run {
+                addr,
+                id: start.id,
+                customer: start.customer,
+                deadline_ms: start.deadline_ms,
+                input: start.input,
+                traceparent: start.traceparent,
+            },
+        )
+        .await;
+        self.finish(&id, outcome, begun.elapsed());
+    }
+
+    fn finish(self: &Arc<Self>, id: &task::Id, outcome: task::Outcome, ran: time::Duration) {
+        let mut inner = self.lock();
+        let now = time::Instant::now();
+        if inner.running.remove(id).is_none() {
+            // It was cancelled in this moment, and its owner was told.
+            return;
+        }
+        let not_run = match &outcome {
+            task::Outcome::Failed(code) => code.outcome() == code::Outcome::NotRun,
+            task::Outcome::Done(_) => false,
+        };
+        if let (true, task::Outcome::Failed(code)) = (not_run, &outcome) {
+            inner.ledger.unstart(now, id);
+            inner.tell(Notice::Refused(id.clone(), *code));
+        } else {
+            let ran_us = ran.as_micros() as u64;
+            inner.ledger.finish(now, id, outcome.clone(), ran_us);
+            inner.tell(Notice::Answer(notice::Answer {
+                id: id.clone(),
+                outcome,
+                ran_us,
+            }));
+        }
+        self.fill(&mut inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes an announcement of the backend server.
+    pub fn announce(self: &Arc<Self>, announcement: backend::Announcement) {
+        let mut inner = self.lock();
+        let now = time::Instant::now();
+        let before = inner.load(now);
+        inner.backend = Some(Backend {
+            announcement,
+            heard: now,
+        });
+        if inner.load(now) != before {
+            inner.tell(Notice::Heartbeat);
+        }
+        self.fill(&mut inner);
+    }
+
+    /// Groups notices into one message, with the load of this moment.
+    pub fn group(&self, notices: Vec<Notice>) -> agent::Up {
+        self.spoke.store(true, Ordering::Relaxed);
+        let load = self.lock().load(time::Instant::now());
+        agent::Up { notices, load }
+    }
+
+    /// Does what is due: a heartbeat where nothing was said, and forgetting what is old.
+    pub fn tick(&self) {
+        let mut inner = self.lock();
+        let now = time::Instant::now();
+        if !self.spoke.swap(false, Ordering::Relaxed) {
+            inner.tell(Notice::Heartbeat);
+        }
+        if inner.slots(now) == 0 {
+            inner.give_back(now);
+        }
+        inner.ledger.sweep(now);
+    }
+
+    /// Starts nothing new from now on, and says so.
+    pub fn drain(&self) {
+        let mut inner = self.lock();
+        inner.draining = true;
+        inner.give_back(time::Instant::now());
+        inner.tell(Notice::Heartbeat);
+    }
+
+    /// Waits until nothing runs or waits.
+    pub async fn idle(&self) {
+        self.until(|inner| inner.running.is_empty() && inner.waiting.is_empty())
+            .await;
+    }
+
+    /// Waits until every answer was acknowledged, `limit` at the longest.
+    pub async fn acknowledged(&self, limit: time::Duration) {
+        let done = self.until(|inner| inner.ledger.kept_bytes() == 0);
+        let _ = tokio::time::timeout(limit, done).await;
+    }
+
+    /// What the agent shows of itself, in the Prometheus text format.
+    pub fn metrics(&self) -> String {
+        let (load, kept) = {
+            let inner = self.lock();
+            (inner.load(time::Instant::now()), inner.ledger.kept_bytes())
+        };
+        let mut page = metrics::Page::open();
+        page.gauge("slots", "Tasks that run at a time", load.slots.into());
+        page.gauge("running", "Tasks that run now", load.running.into());
+        page.gauge(
+            "kept_bytes",
+            "Bytes of answers kept for their owner",
+            kept as i64,
+        );
+        page.messages(&self.messages);
+        page.text()
+    }
+
+    /// Ends everything at once.
+    pub fn abort(&self) {
+        let mut inner = self.lock();
+        for running in inner.running.values() {
+            running.abort.abort();
+        }
+        inner.running.clear();
+        inner.waiting.clear();
+        inner.owner = None;
+    }
+
+    async fn until(&self, holds: impl Fn(&Inner) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            if holds(&self.lock()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("the agent's state is whole")
+    }
+}
+
+impl Inner {
+    fn tell(&mut self, notice: Notice) {
+        if let Some(owner) = &self.owner {
+            if owner.send(notice).is_err() {
+                // The link is gone; the owner asks by key once it is back.
+                self.owner = None;
+            }
+        }
+    }
+
+    fn accept(&mut self, now: time::Instant, epoch: id::Epoch, start: order::Start) {
+        if self.draining || self.slots(now) == 0 {
+            if self.ledger.withdraw(now, &start.id) {
+                self.tell(Notice::Refused(start.id, code::Code::NotJoined));
+            }
+            return;
+        }
+        match self.ledger.start(now, epoch, &start.id) {
+            ledger::Verdict::Run => self.waiting.push_back(start),
+            ledger::Verdict::Duplicate => {}
+            ledger::Verdict::Refuse(code) => self.tell(Notice::Refused(start.id, code)),
+        }
+    }
+
+    /// Gives back what waits here and can't be run here any more.
+    fn give_back(&mut self, now: time::Instant) {
+        for start in std::mem::take(&mut self.waiting) {
+            self.ledger.unstart(now, &start.id);
+            self.tell(Notice::Refused(start.id, code::Code::NotJoined));
+        }
+    }
+
+    fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[task::Id]) {
+        for (id, standing) in self.ledger.resolve(now, epoch, ids) {
+            if let Some((outcome, ran_us)) = self.ledger.answer(&id) {
+                self.tell(Notice::Answer(notice::Answer {
+                    id,
+                    outcome,
+                    ran_us,
+                }));
+            } else {
+                self.tell(Notice::Standing(id, standing));
+            }
+        }
+    }
+
+    /// Slots of the backend server; none once it has left, silently or not.
+    fn slots(&self, now: time::Instant) -> u32 {
+        match &self.backend {
+            Some(backend) if backend.announcement.leaving => 0,
+            Some(backend) if now.saturating_duration_since(backend.heard) > BACKEND_SILENCE => 0,
+            Some(backend) => backend
+                .announcement
+                .slots
+                .min(backend.announcement.connections),
+            None => 0,
+        }
+    }
+
+    fn load(&self, now: time::Instant) -> notice::Load {
+        let capacity = self
+            .backend
+            .as_ref()
+            .map(|backend| backend.announcement.capacity);
+        notice::Load {
+            slots: self.slots(now),
+            capacity: capacity.unwrap_or_default(),
+            running: self.running.len() as u32,
+            draining: self.draining,
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/membership.rs
@@ -0,0 +1,78 @@
+//! Keeps an owner's links to the agents of its cell, by the rows that the agents write.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time;
+
+use anyhow::anyhow;
+
+use crate::decide::inherit;
+use crate::id;
+use crate::wire::platform;
+use crate::wire::rows;
+
+/// Pause between reads of the members.
+pub const POLL: time::Duration = time::Duration::from_secs(2);
+
+/// Pause after a failed read.
+const RETRY: time::Duration = time::Duration::from_millis(200);
+
+/// What the loop reports.
+pub struct Events {
+    /// The members, and the lives lost before, as first read after the epoch was raised.
+    pub first: Box<dyn Fn(&HashMap<id::AgentId, rows::Agent>) + Send + Sync>,
+    /// The members as they stand now.
+    pub current: Box<dyn Fn(&HashMap<id::AgentId, rows::Agent>) + Send + Sync>,
+}
+
+/// Reads the members of a cell for ever.
+pub async fn run(table: platform::Table, cell: id::Cell, events: Arc<Events>) {
+    let mut first = true;
+    loop {
+        let pause = match read(&table, cell).await {
+            Ok(members) => {
+                if first {
+                    (events.first)(&members);
+                    first = false;
+                }
+                (events.current)(&members);
+                POLL
+            }
+            Err(e) => {
+                log::warn!("the members of cell {cell} can't be read: {e}");
+                RETRY
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn read(
+    table: &platform::Table,
+    cell: id::Cell,
+) -> anyhow::Result<HashMap<id::AgentId, rows::Agent>> {
+    let prefix = rows::agents(cell);
+    let found = (table.scan)(prefix.clone())
+        .await
+        .map_err(|e| anyhow!("{e:?}"))?;
+    let mut members = HashMap::new();
+    for row in found {
+        let id = row.key[prefix.len()..].into();
+        members.insert(id, serde_json::from_str(&row.value)?);
+    }
+    Ok(members)
+}
+
+/// The lives that an owner has to hear of.
+pub fn lives(members: &HashMap<id::AgentId, rows::Agent>) -> Vec<inherit::Life> {
+    let life = |(agent, row): (&id::AgentId, &rows::Agent)| inherit::Life {
+        agent: agent.clone(),
+        incarnation: row.incarnation,
+    };
+    members.iter().map(life).collect()
+}
+
+/// The lives that were lost before.
+pub fn lost(members: &HashMap<id::AgentId, rows::Agent>) -> Vec<inherit::LostLife> {
+    members.values().flat_map(|row| row.lost.clone()).collect()
+}
--- /dev/null
+++ b/src/controller/ownership.rs
@@ -0,0 +1,305 @@
+//! Who owns which cell: watches the cells' rows, takes those that nobody owns, beats for its own.
+//!
+//! Taking a cell is always safe, since the agents refuse the owner before; so an entry takes over
+//! on suspicion, and the only question is how soon. `docs/design/claims.md` has the order.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time;
+
+use compact_str::CompactString;
+use tokio::sync::Notify;
+
+use crate::id;
+use crate::wire::platform::{self, Commit, Condition, Revision, Transaction, Write};
+use crate::wire::rows;
+
+/// Pause between beats of an owner, each of which proves that it still is the owner.
+pub const BEAT: time::Duration = time::Duration::from_millis(900);
+
+/// Pause between looks at the cells of others.
+pub const LOOK: time::Duration = time::Duration::from_secs(2);
+
+/// Beats that have to fail to come before a cell is taken from an owner that is only silent.
+pub const SILENCE: time::Duration = time::Duration::from_secs(3);
+
+/// Pause after a failed operation.
+const RETRY: time::Duration = time::Duration::from_millis(150);
+
+/// What an entry is to the ownership.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Its id.
+    pub entry: id::EntryId,
+    /// Its life.
+    pub incarnation: id::Incarnation,
+    /// Where others reach it (host and port).
+    pub addr: CompactString,
+}
+
+/// What is suspected of an owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Suspicion {
+    /// It refuses connections: its process is gone.
+    Refusing,
+    /// Nothing is heard of it.
+    Silent,
+}
+
+/// What the loop reports.
+pub struct Events {
+    /// The cell is owned by this entry, under this epoch and revision of the cell's row.
+    pub won: Box<dyn Fn(id::Cell, id::Epoch, Revision) + Send + Sync>,
+    /// The cell is owned by another entry.
+    pub other: Box<dyn Fn(id::Cell, &rows::Owner) + Send + Sync>,
+    /// The owner was seen in the table by an operation that began at the time given.
+    pub seen: Box<dyn Fn(id::Cell, time::Instant) + Send + Sync>,
+}
+
+/// The ownership of one entry.
+pub struct Ownership {
+    table: platform::Table,
+    candidate: Candidate,
+    cells: u16,
+    events: Events,
+    inner: Mutex<HashMap<id::Cell, State>>,
+    wake: Notify,
+}
+
+#[derive(Clone, Debug, Default)]
+struct State {
+    owned: Option<(id::Epoch, Revision)>,
+    beats: u64,
+    /// What is suspected of the owner of which epoch.
+    suspicion: Option<(id::Epoch, Suspicion)>,
+    beat_seen: Option<(Revision, time::Instant)>,
+    resigned: bool,
+}
+
+/// Opens the ownership of one entry.
+pub fn open(
+    table: platform::Table,
+    candidate: Candidate,
+    cells: u16,
+    events: Events,
+) -> Arc<Ownership> {
+    Arc::new(Ownership {
+        table,
+        candidate,
+        cells,
+        events,
+        inner: Mutex::default(),
+        wake: Notify::new(),
+    })
+}
+
+impl Ownership {
+    /// Reports that the owner of a cell in an epoch seems to be gone.
+    pub fn suspect(&self, cell: id::Cell, epoch: id::Epoch, suspicion: Suspicion) {
+        self.change(cell, |state| state.suspicion = Some((epoch, suspicion)));
+        self.wake.notify_one();
+    }
+
+    /// Reports that the owner of a cell is heard again.
+    pub fn trust(&self, cell: id::Cell) {
+        self.change(cell, |state| state.suspicion = None);
+    }
+
+    /// Looks at the cells at once, for example because a message was answered "not the owner".
+    pub fn look(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Forgets that a cell was owned; another entry has it.
+    pub fn deposed(&self, cell: id::Cell) {
+        self.change(cell, |state| state.owned = None);
+        self.wake.notify_one();
+    }
+
+    /// Hands all owned cells over: others find them without an owner. Takes none from now on.
+    pub async fn resign(&self) {
+        for cell in 0..self.cells {
+            let state = self.change(cell, |state| {
+                state.resigned = true;
+                state.clone()
+            });
+            let Some((epoch, revision)) = state.owned else {
+                continue;
+            };
+            let vacant = rows::Owner {
+                entry: CompactString::default(),
+                incarnation: 0,
+                addr: CompactString::default(),
+                epoch,
+            };
+            let value = serde_json::to_string(&vacant).unwrap_or_default();
+            let _ =
+                (self.table.commit)(Transaction::put_if(&rows::cell(cell), revision, value)).await;
+            self.change(cell, |state| state.owned = None);
+        }
+    }
+
+    /// Takes cells again, after [`Ownership::resign`] found nobody else to take them.
+    pub fn resume(&self) {
+        for cell in 0..self.cells {
+            self.change(cell, |state| state.resigned = false);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Watches for ever.
+    pub async fn run(self: Arc<Self>) {
+        let mut looked = None;
+        loop {
+            let due = looked.is_none_or(|at: time::Instant| at.elapsed() >= LOOK);
+            let woken = self.wait(due).await;
+            if woken || due {
+                self.look_at_cells().await;
+                looked = Some(time::Instant::now());
+            }
+            self.beat_for_cells().await;
+        }
+    }
+
+    async fn wait(&self, at_once: bool) -> bool {
+        if at_once {
+            return false;
+        }
+        let suspicious = {
+            let inner = self.inner.lock().expect("the ownership is whole");
+            inner
+                .values()
+                .any(|state| state.suspicion.is_some() && state.owned.is_none())
+        };
+        let pause = if suspicious { RETRY } else { BEAT };
+        let woken = tokio::time::timeout(pause, self.wake.notified())
+            .await
+            .is_ok();
+        woken || suspicious
+    }
+
+    async fn look_at_cells(&self) {
+        let Ok(found) = (self.table.scan)(rows::CELLS.into()).await else {
+            tokio::time::sleep(RETRY).await;
+            return;
+        };
+        let by_key: HashMap<_, _> = found.iter().map(|row| (row.key.clone(), row)).collect();
+        for cell in 0..self.cells {
+            let row = by_key.get(&rows::cell(cell)).copied();
+            self.look_at(cell, row).await;
+        }
+    }
+
+    async fn look_at(&self, cell: id::Cell, row: Option<&platform::Row>) {
+        let revision = row.map_or(0, |row| row.revision);
+        let owner = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
+        let Some(owner) = owner.filter(|owner| !owner.entry.is_empty()) else {
+            let epoch = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
+            self.take(cell, revision, epoch.map_or(0, |owner| owner.epoch))
+                .await;
+            return;
+        };
+        let mine = owner.entry == self.candidate.entry;
+        if mine && owner.incarnation == self.candidate.incarnation {
+            self.own(cell, owner.epoch, revision);
+            return;
+        }
+        self.change(cell, |state| state.owned = None);
+        // An earlier life of this entry surely runs no more.
+        if mine || self.is_gone(cell, owner.epoch).await {
+            self.take(cell, revision, owner.epoch).await;
+            return;
+        }
+        (self.events.other)(cell, &owner);
+    }
+
+    /// Tells whether a suspected owner is to be replaced.
+    async fn is_gone(&self, cell: id::Cell, epoch: id::Epoch) -> bool {
+        let state = self.change(cell, |state| state.clone());
+        match state.suspicion {
+            Some((of, Suspicion::Refusing)) if of == epoch => return true,
+            Some((of, Suspicion::Silent)) if of == epoch => {}
+            Some(_) | None => return false,
+        }
+        let Ok(row) = (self.table.get)(rows::beat(cell)).await else {
+            return false;
+        };
+        let revision = row.map_or(0, |row| row.revision);
+        match state.beat_seen {
+            Some((seen, since)) if seen == revision => since.elapsed() >= SILENCE,
+            _ => {
+                let now = time::Instant::now();
+                self.change(cell, |state| state.beat_seen = Some((revision, now)));
+                false
+            }
+        }
+    }
+
+    async fn take(&self, cell: id::Cell, revision: Revision, epoch: id::Epoch) {
+        if self.change(cell, |state| state.resigned) {
+            return;
+        }
+        // Candidates that saw the same are spread a little, so that most never try in vain.
+        tokio::time::sleep(time::Duration::from_millis(rand::random_range(0..40))).await;
+        let owner = rows::Owner {
+            entry: self.candidate.entry.clone(),
+            incarnation: self.candidate.incarnation,
+            addr: self.candidate.addr.clone(),
+            epoch: epoch + 1,
+        };
+        let value = serde_json::to_string(&owner).unwrap_or_default();
+        let tx = Transaction::put_if(&rows::cell(cell), revision, value);
+        match (self.table.commit)(tx).await {
+            Ok(Commit::Done(revision)) => self.own(cell, epoch + 1, revision),
+            // Somebody else was quicker, or the answer was lost: the next look tells.
+            Ok(Commit::Conflict(_)) | Err(_) => self.wake.notify_one(),
+        }
+    }
+
+    fn own(&self, cell: id::Cell, epoch: id::Epoch, revision: Revision) {
+        let news = self.change(cell, |state| {
+            let news = state.owned != Some((epoch, revision));
+            state.owned = Some((epoch, revision));
+            state.suspicion = None;
+            state.beat_seen = None;
+            news
+        });
+        if news {
+            (self.events.won)(cell, epoch, revision);
+        }
+    }
+
+    /// Beats for every owned cell, and learns from the condition whether it is still owned.
+    async fn beat_for_cells(&self) {
+        for cell in 0..self.cells {
+            let state = self.change(cell, |state| {
+                state.beats += 1;
+                state.clone()
+            });
+            let Some((epoch, revision)) = state.owned else {
+                continue;
+            };
+            let tx = Transaction {
+                conditions: vec![Condition {
+                    key: rows::cell(cell),
+                    revision,
+                }],
+                writes: vec![Write {
+                    key: rows::beat(cell),
+                    value: Some(format!("[{epoch},{}]", state.beats)),
+                }],
+            };
+            let begun = time::Instant::now();
+            match (self.table.commit)(tx).await {
+                Ok(Commit::Done(_)) => (self.events.seen)(cell, begun),
+                Ok(Commit::Conflict(_)) => self.deposed(cell),
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn change<T>(&self, cell: id::Cell, f: impl FnOnce(&mut State) -> T) -> T {
+        let mut inner = self.inner.lock().expect("the ownership is whole");
+        f(inner.entry(cell).or_default())
+    }
+}
--- /dev/null
+++ b/src/count.rs
@@ -0,0 +1,86 @@
+//! Counts messages between processes by kind, at the sender.
+//!
+//! "Wasted" is defined in `docs/MEASURES.md`: all messages less those that no dispatcher can do
+//! without. The counters are shared by every part of a process and exported on `/metrics`.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// The kinds of message, one counter each.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// A caller's submission or request.
+    Submit,
+    /// The answer to a caller.
+    Reply,
+    /// A submission passed to its owner, and its answer's way back.
+    Forward,
+    /// A message to an agent that carries starts.
+    Start,
+    /// A message from an agent that carries answers.
+    Answer,
+    /// A message to or from an agent that carries neither: heartbeat, fence, cancel, acknowledge.
+    Control,
+    /// A request to a backend server and its answer.
+    Backend,
+    /// A write to the platform's table and its answer.
+    TableWrite,
+    /// A read of the platform's table and its answer.
+    TableRead,
+    /// An object put, fetched or removed.
+    Object,
+}
+
+/// Names of the kinds, in the order of the enum.
+pub const NAMES: [&str; 10] = [
+    "submit",
+    "reply",
+    "forward",
+    "start",
+    "answer",
+    "control",
+    "backend",
+    "table_write",
+    "table_read",
+    "object",
+];
+
+/// The counters of one process; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Messages {
+    sent: Arc<[AtomicU64; 10]>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Messages {
+    /// Adds `n` messages of a kind.
+    pub fn add(&self, kind: Kind, n: u64) {
+        self.sent[kind as usize].fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// Adds bytes of control traffic, so that the budget per node can be checked.
+    pub fn add_control_bytes(&self, n: u64) {
+        self.bytes.fetch_add(n, Ordering::Relaxed);
+    }
+
+    /// Bytes of control traffic so far.
+    pub fn control_bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// The count of one kind.
+    pub fn get(&self, kind: Kind) -> u64 {
+        self.sent[kind as usize].load(Ordering::Relaxed)
+    }
+
+    /// All counts by name.
+    pub fn by_kind(&self) -> BTreeMap<&'static str, u64> {
+        let load = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        NAMES
+            .iter()
+            .copied()
+            .zip(self.sent.iter().map(load))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/decide/inherit.rs
@@ -0,0 +1,188 @@
+//! What a new owner of a cell knows of its predecessors' work, and what it may conclude.
+//!
+//! The order is fixed (`docs/design/claims.md`): the epoch is raised in the table, then the members
+//! are read, then every member is fenced and reports, and the claims are read. Only then is a
+//! submission looked up here, and a task is started only where it provably never was.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::decide::ledger;
+use crate::id;
+use crate::task;
+
+/// How long a new owner waits for members that don't answer its fence.
+pub const PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+
+/// For how long after its last sight of the table an owner may start ahead of its claims.
+pub const TABLE_SIGHT: time::Duration = time::Duration::from_secs(2);
+
+/// Most that two clocks of the system's processes may differ.
+pub const CLOCK_SKEW: time::Duration = time::Duration::from_secs(2);
+
+/// A claim as it stands in the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claimed {
+    /// The scoped key.
+    pub key: id::JobKey,
+    /// Digest of the body.
+    pub digest: u64,
+    /// How many tasks it has.
+    pub tasks: u32,
+    /// When it was made, in milliseconds since the Unix epoch, by the claimant's clock.
+    pub at_ms: u64,
+}
+
+/// A life of an agent as the membership rows tell.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Life {
+    /// The agent.
+    pub agent: id::AgentId,
+    /// Its life.
+    pub incarnation: id::Incarnation,
+}
+
+/// A life that ended without a drain; what it started nobody can tell any more.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LostLife {
+    /// The life.
+    pub incarnation: id::Incarnation,
+    /// When its loss was recorded, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+}
+
+/// What was found out about a submission's key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Found {
+    /// Provably new.
+    Fresh,
+    /// An earlier owner accepted it: where its tasks are, and whether the others may be started.
+    Known {
+        /// Tasks that some agent remembers.
+        tasks: BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>,
+        /// True where tasks that no agent remembers provably never started.
+        rest_startable: bool,
+    },
+    /// It may have run where nobody can look any more.
+    MayHaveRun,
+    /// The key belongs to another body.
+    Reused,
+}
+
+/// The knowledge of one new owner.
+#[derive(Clone, Debug)]
+pub struct Inheritance {
+    taken_at: time::Duration,
+    give_up: time::Instant,
+    awaited: Option<BTreeSet<Life>>,
+    lost: Vec<time::Duration>,
+    claims: Option<HashMap<id::JobKey, Claimed>>,
+    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>>,
+}
+
+impl Inheritance {
+    /// Opens the books of an owner whose epoch was written at `wall` since the Unix epoch.
+    pub fn open(now: time::Instant, wall: time::Duration) -> Inheritance {
+        Inheritance {
+            taken_at: wall,
+            give_up: now + PATIENCE,
+            awaited: None,
+            lost: Vec::new(),
+            claims: None,
+            seen: HashMap::new(),
+        }
+    }
+
+    /// Takes the members, read after the epoch was raised, and the lives that were lost before.
+    pub fn members(
+        &mut self,
+        now: time::Instant,
+        lives: impl IntoIterator<Item = Life>,
+        lost: &[LostLife],
+    ) {
+        self.awaited = Some(lives.into_iter().collect());
+        self.give_up = now + PATIENCE;
+        let recent = |life: &LostLife| {
+            let at = time::Duration::from_millis(life.at_ms);
+            (at + ledger::RETENTION > self.taken_at).then_some(at)
+        };
+        self.lost = lost.iter().filter_map(recent).collect();
+    }
+
+    /// Takes the claims, read after the epoch was raised.
+    pub fn claims(&mut self, claims: impl IntoIterator<Item = Claimed>) {
+        let by_key = claims.into_iter().map(|claim| (claim.key.clone(), claim));
+        self.claims = Some(by_key.collect());
+    }
+
+    /// Takes the report of an agent that has raised its fence.
+    pub fn report(&mut self, life: &Life, tasks: &[(task::Id, ledger::Standing)]) {
+        for (id, standing) in tasks {
+            if *standing == ledger::Standing::Withdrawn {
+                continue;
+            }
+            let job = self.seen.entry(id.job.clone()).or_default();
+            job.insert(id.index, (life.agent.clone(), *standing));
+        }
+        if let Some(awaited) = &mut self.awaited {
+            awaited.remove(life);
+        }
+    }
+
+    /// Tells whether submissions can be looked up.
+    pub fn is_ready(&self, now: time::Instant) -> bool {
+        let Some(awaited) = &self.awaited else {
+            return false;
+        };
+        self.claims.is_some() && (awaited.is_empty() || now >= self.give_up)
+    }
+
+    /// Members that have not reported.
+    pub fn unaccounted(&self) -> usize {
+        self.awaited.as_ref().map_or(0, BTreeSet::len)
+    }
+
+    /// Tells what is known of a key. `minted` is the time of first use that the key itself tells.
+    pub fn look(&self, key: &id::JobKey, digest: u64, minted: Option<time::Duration>) -> Found {
+        let claim = self.claims.as_ref().and_then(|claims| claims.get(key));
+        let seen = self.seen.get(key);
+        if claim.is_some_and(|claim| claim.digest != digest) {
+            return Found::Reused;
+        }
+        if claim.is_none() && seen.is_none() {
+            return if self.may_be_unwritten(minted) {
+                Found::MayHaveRun
+            } else {
+                Found::Fresh
+            };
+        }
+        let claimed_at = claim.map(|claim| time::Duration::from_millis(claim.at_ms));
+        Found::Known {
+            tasks: seen.cloned().unwrap_or_default(),
+            rest_startable: !self.may_be_lost(claimed_at),
+        }
+    }
+
+    /// Tells whether a key without a claim may have been started by the owner before.
+    ///
+    /// Only keys that tell their age are started ahead of their claims, and only by an owner that
+    /// saw itself in the table within [`TABLE_SIGHT`]. So a key that was minted long enough after
+    /// the takeover can't have been, and neither can one whose starts every agent would remember.
+    fn may_be_unwritten(&self, minted: Option<time::Duration>) -> bool {
+        let Some(minted) = minted else {
+            return false;
+        };
+        let safe = self.taken_at + TABLE_SIGHT + 2 * CLOCK_SKEW;
+        let window = TABLE_SIGHT + 2 * CLOCK_SKEW;
+        let recently_lost = self.lost.iter().any(|at| *at + window > self.taken_at);
+        minted < safe && (self.unaccounted() > 0 || recently_lost)
+    }
+
+    /// Tells whether a task of a claim made at that time may have run on a life that is lost.
+    fn may_be_lost(&self, claimed_at: Option<time::Duration>) -> bool {
+        let since = claimed_at.unwrap_or_default();
+        self.unaccounted() > 0 || self.lost.iter().any(|lost| *lost + CLOCK_SKEW > since)
+    }
+}
--- /dev/null
+++ b/src/decide/job.rs
@@ -0,0 +1,124 @@
+//! One job at its owner: where each of its tasks stands and how the job ends.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time;
+
+use serde_json::value::RawValue;
+
+use crate::code;
+use crate::decide::action;
+use crate::id;
+use crate::refusal;
+use crate::submission;
+
+/// Where one task stands.
+#[derive(Clone, Debug)]
+pub enum Progress {
+    /// It waits in the queue, or for its claim.
+    Waiting,
+    /// It was sent to an agent and may run.
+    Sent {
+        /// The agent.
+        agent: id::AgentId,
+        /// When it was sent.
+        at: time::Instant,
+        /// Slot time that was booked for it.
+        estimate: time::Duration,
+    },
+    /// It was sent by an owner of the past to an agent that remembers it.
+    Inherited {
+        /// The agent.
+        agent: id::AgentId,
+    },
+    /// Its answer is here.
+    Done(Box<RawValue>),
+    /// It won't be run or awaited any more.
+    Dropped,
+}
+
+/// How far the claim of a job has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// Nothing may start before it is written.
+    Awaited,
+    /// It is being written while tasks start.
+    Behind,
+    /// It is in the table.
+    Written,
+}
+
+/// A job at its owner.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What was asked for.
+    pub submission: Arc<submission::Submission>,
+    /// When its answer becomes worthless.
+    pub deadline: time::Instant,
+    /// Who waits for its ending.
+    pub waiters: Vec<action::Waiter>,
+    /// Its tasks, by index.
+    pub tasks: Vec<Progress>,
+    /// Tasks without an answer.
+    pub left: usize,
+    /// Its claim.
+    pub claim: Claim,
+    /// Agents that were sent any of its tasks.
+    pub agents: BTreeSet<id::AgentId>,
+    /// How it ended, once it has.
+    pub ending: Option<Arc<submission::Ending>>,
+}
+
+impl Job {
+    /// Opens a job of which nothing was started.
+    pub fn open(
+        submission: Arc<submission::Submission>,
+        deadline: time::Instant,
+        claim: Claim,
+    ) -> Job {
+        let tasks = submission.job.tasks.len();
+        Job {
+            submission,
+            deadline,
+            waiters: Vec::new(),
+            tasks: vec![Progress::Waiting; tasks],
+            left: tasks,
+            claim,
+            agents: BTreeSet::new(),
+            ending: None,
+        }
+    }
+
+    /// Tells whether any task was ever handed to an agent that didn't refuse it.
+    pub fn may_have_run(&self) -> bool {
+        self.tasks
+            .iter()
+            .any(|task| !matches!(task, Progress::Waiting | Progress::Dropped))
+    }
+
+    /// The complete answer, once every task has one.
+    pub fn complete(&self) -> Option<submission::Ending> {
+        if self.left > 0 {
+            return None;
+        }
+        let answer = |task: &Progress| match task {
+            Progress::Done(value) => Some(value.clone()),
+            _ => None,
+        };
+        let answers: Option<Vec<_>> = self.tasks.iter().map(answer).collect();
+        answers.map(submission::Ending::Complete)
+    }
+
+    /// The refusal with which the job fails for a reason, honest about what may have run.
+    pub fn refusal(&self, reason: code::Code) -> refusal::Refusal {
+        let ran = self.may_have_run();
+        let code = match (reason, ran) {
+            (code::Code::Cancelled, false) => code::Code::CancelledBefore,
+            (code::Code::TaskTimeout, false) => code::Code::Expired,
+            // "Not run" is only ever said of a job no task of which was handed out.
+            (reason, true) if reason.outcome() == code::Outcome::NotRun => code::Code::TaskTimeout,
+            (reason, _) => reason,
+        };
+        refusal::Refusal::new(code)
+    }
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,15 @@
+//! Pure decisions: events and `now` go in, actions come out. No socket, clock or thread inside.
+//!
+//! The daemons feed these parts; tests, the model checker and the measurements drive the same code.
+
+pub mod action;
+pub mod config;
+pub mod estimate;
+pub mod fleet;
+pub mod inherit;
+pub mod job;
+pub mod ledger;
+pub mod notice;
+pub mod order;
+pub mod owner;
+pub mod queue;
--- /dev/null
+++ b/src/decide/order.rs
@@ -0,0 +1,48 @@
+//! What the owner of a cell asks of an agent.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::id;
+use crate::task;
+
+/// One thing that an owner asks of an agent.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Order {
+    /// Start a task.
+    Start(Start),
+    /// Withdraw a job: what waits vanishes, what runs is stopped where that can be done.
+    Cancel(id::JobKey),
+    /// A job's answers have reached their caller and need not be kept.
+    Acknowledge(id::JobKey),
+    /// Tell how these tasks stand; what was never seen is refused for good.
+    Resolve(Vec<task::Id>),
+    /// Starts may come ahead of their claims until the next epoch.
+    Direct,
+    /// Nothing else was said for a while.
+    Heartbeat,
+}
+
+/// The start of one task.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Start {
+    /// The task.
+    pub id: task::Id,
+    /// Its customer.
+    pub customer: id::Customer,
+    /// Milliseconds until its answer is worthless.
+    pub deadline_ms: u64,
+    /// What it takes of the worker.
+    #[serde(default)]
+    pub needs: task::Needs,
+    /// Its input.
+    pub input: Box<RawValue>,
+    /// True where the claim isn't in the table yet.
+    #[serde(default)]
+    pub direct: bool,
+    /// The trace that it belongs to, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub traceparent: Option<CompactString>,
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,154 @@
+//! The HTTP side of an entry: callers' paths, operators' paths, and one form for every refusal.
+
+use std::net;
+use std::sync::Arc;
+
+use compact_str::CompactString;
+use gotham::hyper::{StatusCode, Uri};
+
+use crate::code::Code;
+use crate::controller::claims;
+use crate::count;
+use crate::decide::inherit;
+use crate::entry::core::Core;
+use crate::entry::operate;
+use crate::entry::status;
+use crate::filter;
+use crate::key;
+use crate::refusal::Refusal;
+use crate::submission::{Ending, Submission};
+use crate::wire::backend;
+use crate::wire::caller;
+use crate::wire::server::{self, Incoming, Reply};
+
+/// Binds the server.
+pub async fn bind(addr: net::SocketAddr, core: Arc<Core>) -> anyhow::Result<server::Server> {
+    let handler = move |incoming: Incoming| {
+        let core = core.clone();
+        async move { route(&core, incoming).await }
+    };
+    server::bind(addr, handler).await
+}
+
+async fn route(core: &Arc<Core>, incoming: Incoming) -> Reply {
+    let path = incoming.uri.path().to_owned();
+    match (incoming.method.as_str(), path.as_str()) {
+        ("POST", "/v1/jobs") => submit(core, filter::Kind::Job, incoming).await,
+        ("POST", "/v1/requests") => submit(core, filter::Kind::Request, incoming).await,
+        ("DELETE", _) if path.starts_with("/v1/jobs/") => cancel(core, &incoming.uri).await,
+        ("GET", "/v1/config") => operate::show(core),
+        ("PUT", "/v1/config") => match incoming.read(caller::MAX_BODY).await {
+            Ok(body) => operate::change(core, &body).await,
+            Err(refusal) => Reply::refusal(&refusal),
+        },
+        ("GET", "/v1/status") => Reply::json(StatusCode::OK, &status::status(core)),
+        ("POST", "/v1/drain") => operate::drain(core),
+        ("GET", "/metrics") => Reply::text(StatusCode::OK, status::metrics(core)),
+        ("GET", "/healthz") => Reply::text(StatusCode::OK, "ok\n".to_owned()),
+        ("GET", "/readyz") if core.is_ready() => Reply::text(StatusCode::OK, "ready\n".to_owned()),
+        ("GET", "/readyz") => {
+            Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+        }
+        _ => Reply::refusal(&Refusal::detailed(Code::NotFound, &path)),
+    }
+}
+
+async fn submit(core: &Arc<Core>, kind: filter::Kind, incoming: Incoming) -> Reply {
+    core.messages.add(count::Kind::Submit, 1);
+    core.messages.add(count::Kind::Reply, 1);
+    match take(core, kind, incoming).await {
+        Ok(submission) => {
+            let ending = core.run(submission.clone()).await;
+            reply(&submission.key, &ending)
+        }
+        Err(refusal) => Reply::refusal(&refusal),
+    }
+}
+
+/// Takes a submission through the filter chain.
+async fn take(
+    core: &Core,
+    kind: filter::Kind,
+    incoming: Incoming,
+) -> Result<Arc<Submission>, Refusal> {
+    let key = incoming
+        .header(caller::IDEMPOTENCY_KEY)
+        .map(CompactString::from);
+    let traceparent = incoming
+        .header(backend::TRACEPARENT)
+        .map(CompactString::from);
+    let cx = filter::Context {
+        config: core.config.get(),
+        draining: core.is_draining(),
+    };
+    let draft = filter::Draft {
+        kind,
+        key,
+        traceparent,
+        body: incoming.read(caller::MAX_BODY).await?,
+        job: None,
+        idempotent: false,
+    };
+    let draft = filter::pass(&cx, draft)?;
+    accept(draft)
+        .map(Arc::new)
+        .ok_or_else(|| Refusal::new(Code::BadJson))
+}
+
+/// Makes the submission of a draft that has passed the chain.
+fn accept(draft: filter::Draft) -> Option<Submission> {
+    let job = draft.job?;
+    let key = match draft.key {
+        Some(key) => key,
+        // Nobody can resubmit a request whose key is only known here.
+        None => key::mint(claims::since_epoch(), rand::random()).into(),
+    };
+    Some(Submission {
+        minted_ms: minted_ms(&key),
+        key: key::scoped(&job.customer, &key),
+        digest: key::digest(&draft.body),
+        idempotent: draft.idempotent,
+        job,
+        traceparent: draft.traceparent,
+    })
+}
+
+/// The time that a key tells, if it agrees with this process's clock.
+///
+/// A key from the future would pass for a fresh one after a takeover that came between its first
+/// and its second submission, so it counts as one that tells nothing.
+fn minted_ms(key: &str) -> Option<u64> {
+    let minted = key::minted_at(key)?;
+    let latest = claims::since_epoch() + inherit::CLOCK_SKEW;
+    (minted <= latest).then_some(minted.as_millis() as u64)
+}
+
+async fn cancel(core: &Core, uri: &Uri) -> Reply {
+    let key = uri.path().strip_prefix("/v1/jobs/").unwrap_or_default();
+    let query = uri.query().unwrap_or_default();
+    let customer = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("customer="));
+    let Some(customer) = customer.filter(|_| !key.is_empty()) else {
+        let detail = "DELETE takes /v1/jobs/KEY?customer=NAME";
+        return Reply::refusal(&Refusal::detailed(Code::KeyMissing, detail));
+    };
+    let key = key::scoped(customer, key);
+    let ending = core.cancel(key.clone()).await;
+    reply(&key, &ending)
+}
+
+/// The reply that an ending is to its caller.
+fn reply(key: &str, ending: &Ending) -> Reply {
+    match ending {
+        Ending::Complete(answers) => {
+            let body = caller::JobAnswer {
+                key: key.split_once('/').map_or(key, |(_, key)| key).into(),
+                state: "complete".into(),
+                answers: answers.clone(),
+            };
+            Reply::json(StatusCode::OK, &body)
+        }
+        Ending::Failed(refusal) => Reply::refusal(refusal),
+    }
+}
--- /dev/null
+++ b/src/entry/operate.rs
@@ -0,0 +1,71 @@
+//! The operators' paths: show and change the configuration, drain.
+
+use std::sync::Arc;
+
+use gotham::hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::class;
+use crate::code::Code;
+use crate::entry::core::Core;
+use crate::id;
+use crate::refusal::Refusal;
+use crate::wire::server::Reply;
+
+/// `PUT /v1/config`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Change {
+    /// The version that the change was made from.
+    pub base: id::Version,
+    /// The whole new document.
+    pub document: class::Document,
+}
+
+/// The answer to an accepted change.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Accepted {
+    /// The version under which it is in force.
+    pub version: id::Version,
+}
+
+/// A refused change: the refusal and every mistake.
+#[derive(Serialize)]
+struct Refused {
+    #[serde(flatten)]
+    refusal: Refusal,
+    mistakes: Vec<class::Mistake>,
+}
+
+/// `GET /v1/config`.
+pub fn show(core: &Core) -> Reply {
+    match core.config.get() {
+        Some(config) => Reply::json(StatusCode::OK, &*config),
+        None => Reply::refusal(&Refusal::new(Code::NoConfiguration)),
+    }
+}
+
+/// `PUT /v1/config`.
+pub async fn change(core: &Core, body: &[u8]) -> Reply {
+    let change: Change = match serde_json::from_slice(body) {
+        Ok(change) => change,
+        Err(e) => return Reply::refusal(&Refusal::detailed(Code::BadJson, &e.to_string())),
+    };
+    match core.config.change(change.base, change.document).await {
+        Ok(version) => Reply::json(StatusCode::OK, &Accepted { version }),
+        Err((code, mistakes)) => {
+            let refusal = Refusal::new(code);
+            let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_REQUEST);
+            Reply::json(status, &Refused { refusal, mistakes })
+        }
+    }
+}
+
+/// `POST /v1/drain`.
+pub fn drain(core: &Arc<Core>) -> Reply {
+    core.ask_to_stop();
+    Reply::json(
+        StatusCode::ACCEPTED,
+        &serde_json::json!({ "draining": true }),
+    )
+}
--- /dev/null
+++ b/src/filter/parse.rs
@@ -0,0 +1,40 @@
+//! Reads the body: a job, or a request that becomes a job of one task.
+
+use crate::class;
+use crate::code;
+use crate::filter::{Context, Draft, Kind};
+use crate::refusal::Refusal;
+use crate::submission;
+use crate::wire::caller;
+
+/// The filter.
+pub fn filter(_cx: &Context, mut draft: Draft) -> Result<Draft, Refusal> {
+    let (job, idempotent) = match draft.kind {
+        // A job's tasks are pure work; what must run once is sent as a request.
+        Kind::Job => (serde_json::from_slice::<submission::Job>(&draft.body), true),
+        Kind::Request => read_request(&draft.body),
+    };
+    let job = job.map_err(|e| Refusal::detailed(code::Code::BadJson, &e.to_string()))?;
+    if !class::is_name(&job.customer) {
+        return Err(Refusal::detailed(
+            code::Code::BadTask,
+            "customer isn't a name",
+        ));
+    }
+    if !idempotent && draft.key.is_none() {
+        return Err(Refusal::new(code::Code::KeyMissing));
+    }
+    draft.job = Some(job);
+    draft.idempotent = idempotent;
+    Ok(draft)
+}
+
+fn read_request(body: &[u8]) -> (serde_json::Result<submission::Job>, bool) {
+    match serde_json::from_slice::<caller::Request>(body) {
+        Ok(req) => {
+            let idempotent = req.idempotent;
+            (Ok(req.into_job()), idempotent)
+        }
+        Err(e) => (Err(e), false),
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,29 @@
+//! lovagemill is a dispatcher for sub-second tasks, and a library of the coordination parts it is
+//! built from.
+//!
+//! Read `docs/ARCHITECTURE.md` for the picture. Imports go one way, down this list: the running
+//! parts ([`entry`], [`agent`], [`standin`], [`demo`]), the request [`filter`] chain and the state
+//! [`controller`]s, the [`wire`] interfaces, the pure decisions in [`decide`], and the ground
+//! modules that everything may use.
+
+pub mod agent;
+pub mod controller;
+pub mod decide;
+pub mod demo;
+pub mod entry;
+pub mod filter;
+pub mod standin;
+pub mod wire;
+
+pub mod class;
+pub mod cli;
+pub mod code;
+pub mod count;
+pub mod id;
+pub mod key;
+pub mod logging;
+pub mod metrics;
+pub mod refusal;
+pub mod submission;
+pub mod task;
+pub mod trace;
--- /dev/null
+++ b/src/standin/truth.rs
@@ -0,0 +1,87 @@
+//! What really happened, as the stand-in backend servers saw it, apart from the system's state.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use compact_str::CompactString;
+
+use crate::id;
+use crate::task;
+
+/// Counts starts and broken promises; clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    starts: HashMap<task::Id, u32>,
+    started: HashMap<id::JobKey, u32>,
+    work_after_leave: u64,
+    cut_off: u64,
+    slot_micros: HashMap<id::Customer, u64>,
+    by_backend: HashMap<CompactString, u64>,
+}
+
+impl Truth {
+    /// Counts a start.
+    pub fn start(&self, backend: &str, id: &task::Id) {
+        let mut inner = self.lock();
+        *inner.starts.entry(id.clone()).or_default() += 1;
+        *inner.started.entry(id.job.clone()).or_default() += 1;
+        *inner.by_backend.entry(backend.into()).or_default() += 1;
+    }
+
+    /// Counts a start that came a few seconds after its backend server had left.
+    pub fn work_after_leave(&self) {
+        self.lock().work_after_leave += 1;
+    }
+
+    /// Counts a run that was cut off.
+    pub fn cut_off(&self) {
+        self.lock().cut_off += 1;
+    }
+
+    /// Books slot time on a customer.
+    pub fn used(&self, customer: &str, micros: u64) {
+        *self.lock().slot_micros.entry(customer.into()).or_default() += micros;
+    }
+
+    /// Tasks started.
+    pub fn tasks_started(&self) -> u64 {
+        self.lock().starts.len() as u64
+    }
+
+    /// Tasks started more than once.
+    pub fn started_twice(&self) -> Vec<task::Id> {
+        let inner = self.lock();
+        let twice = inner.starts.iter().filter(|(_, n)| **n > 1);
+        twice.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Starts of a job's tasks.
+    pub fn starts_of(&self, job: &str) -> u32 {
+        self.lock().started.get(job).copied().unwrap_or(0)
+    }
+
+    /// Starts after a leave, and runs that were cut off.
+    pub fn broken(&self) -> (u64, u64) {
+        let inner = self.lock();
+        (inner.work_after_leave, inner.cut_off)
+    }
+
+    /// Slot time by customer, in microseconds.
+    pub fn slot_micros(&self) -> HashMap<id::Customer, u64> {
+        self.lock().slot_micros.clone()
+    }
+
+    /// Starts by backend server.
+    pub fn by_backend(&self) -> HashMap<CompactString, u64> {
+        self.lock().by_backend.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("the counts are whole")
+    }
+}
--- /dev/null
+++ b/src/submission.rs
@@ -0,0 +1,66 @@
+//! A submission: what a caller asks for, and how it ended.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::id;
+use crate::refusal;
+use crate::task;
+
+/// One task as declared by the caller.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Task {
+    /// Names tasks that take alike long, so that run times can be learned.
+    #[serde(default)]
+    pub kind: CompactString,
+    /// Declared run time in milliseconds; only a prior.
+    #[serde(default)]
+    pub run_ms: u64,
+    /// What it takes of a worker.
+    #[serde(default)]
+    pub needs: task::Needs,
+    /// The input for the backend server, any JSON.
+    pub input: Box<RawValue>,
+}
+
+/// `POST /v1/jobs`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Job {
+    /// Who submits.
+    pub customer: id::Customer,
+    /// The class of work.
+    pub class: id::ClassName,
+    /// The tasks, 1 up to the class's `max_tasks`.
+    pub tasks: Vec<Task>,
+}
+
+/// A submission that has passed the filter chain of the entry that took it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Submission {
+    /// The scoped key.
+    pub key: id::JobKey,
+    /// Digest of the body, to tell a resubmission from another job under the same key.
+    pub digest: u64,
+    /// Milliseconds since the Unix epoch when the key was first used, if the key tells.
+    pub minted_ms: Option<u64>,
+    /// Whether running it twice would do no harm.
+    pub idempotent: bool,
+    /// The job.
+    pub job: Job,
+    /// The trace that it belongs to, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub traceparent: Option<CompactString>,
+}
+
+/// How a submission ended, as the owner keeps it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// Every task's answer, in the order of the tasks.
+    Complete(Vec<Box<RawValue>>),
+    /// No answer; the refusal tells what is known.
+    Failed(refusal::Refusal),
+}
--- /dev/null
+++ b/src/trace.rs
@@ -0,0 +1,1 @@
+//! Traces, a span per hop, by the opentelemetry crates.
--- /dev/null
+++ b/src/wire/agent.rs
@@ -0,0 +1,75 @@
+//! Between the owner of a cell and an agent: typed messages over a [`link`](crate::wire::link).
+//!
+//! The hello is the fence: an agent that has seen an epoch refuses every start of a smaller one.
+
+use std::time;
+
+use serde::{Deserialize, Serialize};
+
+use crate::count;
+use crate::decide::notice;
+use crate::decide::order;
+use crate::id;
+
+/// Silence after which the agent, or an owner towards another entry, sends a heartbeat.
+pub const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+
+/// Silence after which the other side takes the link for dead.
+pub const SILENCE: time::Duration = time::Duration::from_millis(1_600);
+
+/// The owner's hello.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    /// The owner.
+    pub entry: id::EntryId,
+    /// The cell.
+    pub cell: id::Cell,
+    /// The owner's epoch.
+    pub epoch: id::Epoch,
+}
+
+/// A message of the owner.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Down {
+    /// The cell.
+    pub cell: id::Cell,
+    /// The epoch under which the owner speaks.
+    pub epoch: id::Epoch,
+    /// The life of the agent that the owner means.
+    pub incarnation: id::Incarnation,
+    /// What it asks for.
+    pub orders: Vec<order::Order>,
+}
+
+/// A message of an agent.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Up {
+    /// What it has to say.
+    pub notices: Vec<notice::Notice>,
+    /// Its load when the message left; rides on every message.
+    pub load: notice::Load,
+}
+
+/// The kind under which a message of the owner is counted.
+pub fn kind_down(orders: &[order::Order]) -> count::Kind {
+    if orders
+        .iter()
+        .any(|order| matches!(order, order::Order::Start(_)))
+    {
+        count::Kind::Start
+    } else {
+        count::Kind::Control
+    }
+}
+
+/// The kind under which a message of the agent is counted.
+pub fn kind_up(notices: &[notice::Notice]) -> count::Kind {
+    if notices
+        .iter()
+        .any(|n| matches!(n, notice::Notice::Answer(_)))
+    {
+        count::Kind::Answer
+    } else {
+        count::Kind::Control
+    }
+}
--- /dev/null
+++ b/src/wire/http.rs
@@ -0,0 +1,144 @@
+//! A small HTTP client over `hyper-util`, shared by the interfaces that speak HTTP.
+
+use std::fmt;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::timeout;
+
+/// Why an exchange brought no whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// No connection was made, so the other side saw nothing.
+    NotSent,
+    /// The request left; whether it took effect can't be told.
+    Broken,
+    /// The time ran out after the request left.
+    TimedOut,
+    /// The answer was over the limit.
+    TooLarge,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            Error::NotSent => "no connection could be made",
+            Error::Broken => "the connection broke before the whole answer came",
+            Error::TimedOut => "no answer came in time",
+            Error::TooLarge => "the answer was over the limit",
+        };
+        f.write_str(text)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The body, complete.
+    pub body: Bytes,
+}
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The whole address, such as `http://127.0.0.1:7001/v1/jobs`.
+    pub uri: String,
+    /// Headers beside the ones that HTTP itself needs.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Builds a call without headers.
+    pub fn new(method: Method, uri: String, body: impl Into<Bytes>) -> Call {
+        Call {
+            method,
+            uri,
+            headers: Vec::new(),
+            body: body.into(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Call {
+        self.headers.push((name, value.into()));
+        self
+    }
+}
+
+/// A client that keeps connections open between calls; clones share them.
+#[derive(Clone)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    max_answer: usize,
+}
+
+/// Opens a client that takes answers of at most `max_answer` bytes.
+pub fn open(max_answer: usize) -> Client {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(time::Duration::from_secs(1)));
+    let inner = legacy::Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(time::Duration::from_secs(20))
+        // A pooled connection that the other side closes is retried by the library only where it
+        // knows that nothing was sent. A retry on our account would start a task twice.
+        .retry_canceled_requests(false)
+        .build(connector);
+    Client { inner, max_answer }
+}
+
+impl Client {
+    /// Sends one request and waits for the whole answer, `limit` at the longest.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] is the only one that proves the other side saw nothing.
+    pub async fn call(&self, call: Call, limit: time::Duration) -> Result<Answer, Error> {
+        match timeout(limit, self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => Err(Error::TimedOut),
+        }
+    }
+
+    async fn exchange(&self, call: Call) -> Result<Answer, Error> {
+        let mut builder = Request::builder().method(call.method).uri(&call.uri);
+        for (name, value) in &call.headers {
+            builder = builder.header(*name, value);
+        }
+        let req = builder
+            .body(Full::new(call.body))
+            .map_err(|_| Error::NotSent)?;
+        let res = self.inner.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                Error::NotSent
+            } else {
+                Error::Broken
+            }
+        })?;
+        let status = res.status();
+        let limited = Limited::new(res.into_body(), self.max_answer);
+        let collected = limited.collect().await.map_err(|e| {
+            if e.is::<http_body_util::LengthLimitError>() {
+                Error::TooLarge
+            } else {
+                Error::Broken
+            }
+        })?;
+        Ok(Answer {
+            status,
+            body: collected.to_bytes(),
+        })
+    }
+}
--- /dev/null
+++ b/src/wire/link.rs
@@ -0,0 +1,301 @@
+//! A lasting two-way connection between two of the system's processes, over jsonrpsee.
+//!
+//! The client subscribes with a hello; the server's messages come as items of that subscription
+//! and the client's go as JSON-RPC notifications, so neither side answers a message only to say
+//! that it came. Whatever waits when the writer is free leaves as one message: starts and answers
+//! of the same moment are grouped without any added delay. A link promises nothing about loss;
+//! both users of it ask again by key after a reconnect.
+
+use std::future::Future;
+use std::net;
+use std::sync::Arc;
+use std::time;
+
+use jsonrpsee::core::client::{ClientT, Subscription, SubscriptionClientT};
+use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::server::middleware::rpc::{self, RpcServiceT};
+use jsonrpsee::server::{PendingSubscriptionSink, RpcModule, ServerConfig, ServerHandle};
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use jsonrpsee::SubscriptionMessage;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::value;
+use tokio::sync::mpsc;
+
+/// Most items that one message may carry.
+const MAX_GROUP: usize = 256;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE: u32 = 32 * 1024 * 1024;
+
+/// Messages that a client holds for a reader that is behind.
+const MAX_UNREAD: usize = 65_536;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// The sending half of a link; the link closes once all clones are dropped.
+pub type Sender<T> = mpsc::UnboundedSender<T>;
+
+/// The receiving half, from which a link takes what it sends.
+pub type Receiver<T> = mpsc::UnboundedReceiver<T>;
+
+/// The accepting side of links.
+pub struct Server {
+    addr: net::SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    /// Where the server listens.
+    pub fn addr(&self) -> net::SocketAddr {
+        self.addr
+    }
+
+    /// Closes every link and the listener.
+    pub fn stop(&self) {
+        let _ = self.handle.stop();
+    }
+}
+
+/// What a server does: how it greets, what it does with messages, how it groups its own.
+pub struct Service<Hello, Item, In, Out> {
+    /// Takes the hello and the way back. Dropping the sender closes the link.
+    pub greet: Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>,
+    /// Takes one message of the client.
+    pub take: Arc<dyn Fn(In) + Send + Sync>,
+    /// Groups items into one message of the server, and counts it.
+    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+}
+
+/// Binds a server of links.
+pub async fn bind<Hello, Item, In, Out>(
+    addr: net::SocketAddr,
+    service: Service<Hello, Item, In, Out>,
+) -> anyhow::Result<Server>
+where
+    Hello: DeserializeOwned + Send + 'static,
+    Item: Send + 'static,
+    In: DeserializeOwned + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let cfg = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE)
+        .max_response_body_size(MAX_MESSAGE)
+        .max_connections(4_096)
+        .ws_only()
+        .build();
+    let inbox = inbox(service.take);
+    let layers = rpc::RpcServiceBuilder::new().layer_fn(move |inner| Inbox {
+        inner,
+        deliver: inbox.clone(),
+    });
+    let server = jsonrpsee::server::Server::builder()
+        .set_config(cfg)
+        .set_rpc_middleware(layers)
+        .build(addr)
+        .await?;
+    let addr = server.local_addr()?;
+    let module = module(service.greet, service.group)?;
+    let handle = server.start(module);
+    Ok(Server { addr, handle })
+}
+
+type Greet<Hello, Item> = Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>;
+type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
+
+fn module<Hello, Item, Out>(
+    greet: Greet<Hello, Item>,
+    group: Group<Item, Out>,
+) -> anyhow::Result<RpcModule<()>>
+where
+    Hello: DeserializeOwned + Send + 'static,
+    Item: Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let mut module = RpcModule::new(());
+    module.register_subscription("open", "up", "close", move |params, pending, _, _| {
+        let greet = greet.clone();
+        let group = group.clone();
+        let hello = params.one::<Hello>();
+        async move {
+            let Ok(hello) = hello else {
+                return;
+            };
+            let (tx, rx) = mpsc::unbounded_channel();
+            greet(hello, tx);
+            write_up(pending, rx, group).await;
+        }
+    })?;
+    Ok(module)
+}
+
+async fn write_up<Item, Out: Serialize>(
+    pending: PendingSubscriptionSink,
+    mut rx: Receiver<Item>,
+    group: Group<Item, Out>,
+) {
+    let Ok(sink) = pending.accept().await else {
+        return;
+    };
+    loop {
+        let mut items = Vec::new();
+        tokio::select! {
+            n = rx.recv_many(&mut items, MAX_GROUP) => if n == 0 {
+                return;
+            },
+            () = sink.closed() => return,
+        }
+        let Ok(raw) = value::to_raw_value(&group(items)) else {
+            return;
+        };
+        if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
+            return;
+        }
+    }
+}
+
+type Deliver = Arc<dyn Fn(&str) + Send + Sync>;
+
+fn inbox<In: DeserializeOwned + 'static>(take: Arc<dyn Fn(In) + Send + Sync>) -> Deliver {
+    Arc::new(move |params| match serde_json::from_str::<(In,)>(params) {
+        Ok((message,)) => take(message),
+        Err(e) => log::warn!("a message on a link was dropped, it can't be read: {e}"),
+    })
+}
+
+/// Takes notifications, which jsonrpsee's own service would pass over.
+#[derive(Clone)]
+struct Inbox<S> {
+    inner: S,
+    deliver: Deliver,
+}
+
+impl<S: RpcServiceT> RpcServiceT for Inbox<S> {
+    type BatchResponse = S::BatchResponse;
+    type MethodResponse = S::MethodResponse;
+    type NotificationResponse = S::NotificationResponse;
+
+    fn call<'a>(
+        &self,
+        req: rpc::Request<'a>,
+    ) -> impl Future<Output = Self::MethodResponse> + Send + 'a {
+        self.inner.call(req)
+    }
+
+    fn batch<'a>(
+        &self,
+        req: rpc::Batch<'a>,
+    ) -> impl Future<Output = Self::BatchResponse> + Send + 'a {
+        self.inner.batch(req)
+    }
+
+    fn notification<'a>(
+        &self,
+        n: rpc::Notification<'a>,
+    ) -> impl Future<Output = Self::NotificationResponse> + Send + 'a {
+        if let Some(params) = &n.params {
+            (self.deliver)(params.get());
+        }
+        self.inner.notification(n)
+    }
+}
+
+/// What a client of a link does.
+pub struct Peer<Item, In, Out> {
+    /// Takes one message of the server.
+    pub take: Arc<dyn Fn(In) + Send + Sync>,
+    /// Groups items into one message of the client, and counts it.
+    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    /// Runs once when the link is gone.
+    pub closed: Box<dyn FnOnce() + Send>,
+}
+
+/// Connects a link that sends what comes from `rx`, and closes once that channel does.
+///
+/// # Errors
+///
+/// Returns an error where no connection came about in time.
+pub async fn connect<Hello, Item, In, Out>(
+    addr: &str,
+    hello: Hello,
+    rx: Receiver<Item>,
+    peer: Peer<Item, In, Out>,
+) -> anyhow::Result<()>
+where
+    Hello: Serialize + Send + 'static,
+    Item: Send + 'static,
+    In: DeserializeOwned + Send + 'static,
+    Out: Serialize + Send + 'static,
+{
+    let client = WsClientBuilder::default()
+        .connection_timeout(CONNECT_TIMEOUT)
+        .request_timeout(time::Duration::from_secs(2))
+        .max_request_size(MAX_MESSAGE)
+        .max_response_size(MAX_MESSAGE)
+        .max_buffer_capacity_per_subscription(MAX_UNREAD)
+        .build(format!("ws://{addr}"))
+        .await?;
+    let mut params = ArrayParams::new();
+    params.insert(hello)?;
+    let subscription: Subscription<In> = client.subscribe("open", params, "close").await?;
+    tokio::spawn(async move {
+        tokio::select! {
+            () = read(subscription, peer.take) => {}
+            () = write_down(client, rx, peer.group) => {}
+        }
+        (peer.closed)();
+    });
+    Ok(())
+}
+
+/// What a plain connection attempt tells of a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reach {
+    /// It listens.
+    Open,
+    /// Its machine answers that nothing listens there.
+    Refused,
+    /// Nothing answers.
+    Silent,
+}
+
+/// Tries a plain connection, to tell a dead process from a silent network.
+pub async fn probe(addr: &str) -> Reach {
+    let connecting = tokio::net::TcpStream::connect(addr);
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => Reach::Open,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Reach::Refused,
+        Ok(Err(_)) | Err(_) => Reach::Silent,
+    }
+}
+
+async fn read<In: DeserializeOwned>(
+    mut subscription: Subscription<In>,
+    take: Arc<dyn Fn(In) + Send + Sync>,
+) {
+    while let Some(next) = subscription.next().await {
+        match next {
+            Ok(message) => take(message),
+            Err(e) => log::warn!("a message on a link was dropped, it can't be read: {e}"),
+        }
+    }
+}
+
+async fn write_down<Item, Out: Serialize>(
+    client: WsClient,
+    mut rx: Receiver<Item>,
+    group: Group<Item, Out>,
+) {
+    loop {
+        let mut items = Vec::new();
+        if rx.recv_many(&mut items, MAX_GROUP).await == 0 {
+            return;
+        }
+        let mut params = ArrayParams::new();
+        let inserted = params.insert(group(items));
+        if inserted.is_err() || client.notification("down", params).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,11 @@
+//! The interfaces between processes: typed messages, and a client and server of each.
+
+pub mod agent;
+pub mod backend;
+pub mod caller;
+pub mod http;
+pub mod link;
+pub mod peer;
+pub mod platform;
+pub mod rows;
+pub mod server;
--- /dev/null
+++ b/src/wire/platform.rs
@@ -0,0 +1,274 @@
+//! The platform's table and object store: a narrow interface, and its client over HTTP.
+//!
+//! Everything about the platform's wire is in this one module, so that the users' real platform
+//! can be met by replacing [`connect`]. The interface is a plain struct of functions: tests pass
+//! closures, the daemons pass the HTTP client. See `docs/design/interfaces.md`.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::count;
+use crate::wire::http;
+
+/// Largest answer that the table or the object store may give, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// Counts the changes of one row; 0 means that the row is absent.
+pub type Revision = u64;
+
+/// A future that can be sent between threads.
+pub type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// One row of the table.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// The key; rows are sorted by it.
+    pub key: CompactString,
+    /// The value, a JSON text.
+    pub value: String,
+    /// The row's revision, never 0.
+    pub revision: Revision,
+}
+
+/// What must hold of a row for a transaction to be committed.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Condition {
+    /// The row.
+    pub key: CompactString,
+    /// Its revision; 0 asks for the row to be absent.
+    pub revision: Revision,
+}
+
+/// A change of one row inside a transaction.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Write {
+    /// The row.
+    pub key: CompactString,
+    /// The new value, or nothing to remove the row.
+    pub value: Option<String>,
+}
+
+/// A transaction: all writes are done if all conditions hold, else none.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Transaction {
+    /// The conditions.
+    pub conditions: Vec<Condition>,
+    /// The writes.
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Writes one row if it still has the revision given.
+    pub fn put_if(key: &str, revision: Revision, value: String) -> Transaction {
+        Transaction {
+            conditions: vec![Condition {
+                key: key.into(),
+                revision,
+            }],
+            writes: vec![Write {
+                key: key.into(),
+                value: Some(value),
+            }],
+        }
+    }
+
+    /// Writes one row whatever it holds.
+    pub fn put(key: &str, value: String) -> Transaction {
+        Transaction {
+            conditions: Vec::new(),
+            writes: vec![Write {
+                key: key.into(),
+                value: Some(value),
+            }],
+        }
+    }
+
+    /// Removes rows whatever they hold.
+    pub fn remove(keys: impl IntoIterator<Item = CompactString>) -> Transaction {
+        let write = |key| Write { key, value: None };
+        Transaction {
+            conditions: Vec::new(),
+            writes: keys.into_iter().map(write).collect(),
+        }
+    }
+}
+
+/// How a transaction ended.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Commit {
+    /// All writes were done; the rows written have this revision.
+    Done(Revision),
+    /// A condition didn't hold on this row; nothing was written.
+    Conflict(CompactString),
+}
+
+/// Why the platform gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// The operation surely had no effect.
+    NotDone,
+    /// The operation may have taken effect; read before trying again.
+    Unknown,
+}
+
+/// The transactional table.
+#[derive(Clone)]
+pub struct Table {
+    /// Reads one row.
+    pub get: Arc<dyn Fn(CompactString) -> Pending<Result<Option<Row>, Error>> + Send + Sync>,
+    /// Reads all rows whose key starts with a prefix, sorted by key.
+    pub scan: Arc<dyn Fn(CompactString) -> Pending<Result<Vec<Row>, Error>> + Send + Sync>,
+    /// Commits a transaction.
+    pub commit: Arc<dyn Fn(Transaction) -> Pending<Result<Commit, Error>> + Send + Sync>,
+}
+
+/// The object store.
+#[derive(Clone)]
+pub struct Objects {
+    /// Stores an object under a name.
+    pub put: Arc<dyn Fn(CompactString, Bytes) -> Pending<Result<(), Error>> + Send + Sync>,
+    /// Fetches an object.
+    pub get: Arc<dyn Fn(CompactString) -> Pending<Result<Option<Bytes>, Error>> + Send + Sync>,
+    /// Removes an object.
+    pub remove: Arc<dyn Fn(CompactString) -> Pending<Result<(), Error>> + Send + Sync>,
+}
+
+/// Both of the platform's services.
+#[derive(Clone)]
+pub struct Platform {
+    /// The table.
+    pub table: Table,
+    /// The object store.
+    pub objects: Objects,
+}
+
+/// How a table answers over HTTP.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Key {
+    /// A row's key, or a prefix of keys.
+    pub key: CompactString,
+}
+
+/// Connects to the platform at `addr` (host and port). Each call takes `limit` at the longest.
+pub fn connect(addr: &str, limit: time::Duration, messages: count::Messages) -> Platform {
+    let client = Arc::new(Remote {
+        http: http::open(MAX_ANSWER),
+        base: format!("http://{addr}"),
+        limit,
+        messages,
+    });
+    Platform {
+        table: remote_table(&client),
+        objects: remote_objects(&client),
+    }
+}
+
+fn remote_table(client: &Arc<Remote>) -> Table {
+    let (get, scan, commit) = (client.clone(), client.clone(), client.clone());
+    Table {
+        get: Arc::new(move |key| {
+            let remote = get.clone();
+            Box::pin(async move {
+                remote
+                    .table("get", &Key { key }, count::Kind::TableRead)
+                    .await
+            })
+        }),
+        scan: Arc::new(move |key| {
+            let remote = scan.clone();
+            Box::pin(async move {
+                remote
+                    .table("scan", &Key { key }, count::Kind::TableRead)
+                    .await
+            })
+        }),
+        commit: Arc::new(move |tx| {
+            let remote = commit.clone();
+            Box::pin(async move { remote.table("commit", &tx, count::Kind::TableWrite).await })
+        }),
+    }
+}
+
+fn remote_objects(client: &Arc<Remote>) -> Objects {
+    let (put, get, remove) = (client.clone(), client.clone(), client.clone());
+    Objects {
+        put: Arc::new(move |name, body| {
+            let remote = put.clone();
+            Box::pin(async move { remote.object(Method::PUT, &name, body).await.map(drop) })
+        }),
+        get: Arc::new(move |name| {
+            let remote = get.clone();
+            Box::pin(async move { remote.object(Method::GET, &name, Bytes::new()).await })
+        }),
+        remove: Arc::new(move |name| {
+            let remote = remove.clone();
+            Box::pin(async move {
+                remote
+                    .object(Method::DELETE, &name, Bytes::new())
+                    .await
+                    .map(drop)
+            })
+        }),
+    }
+}
+
+struct Remote {
+    http: http::Client,
+    base: String,
+    limit: time::Duration,
+    messages: count::Messages,
+}
+
+impl Remote {
+    async fn table<T: DeserializeOwned>(
+        &self,
+        verb: &str,
+        body: &impl Serialize,
+        kind: count::Kind,
+    ) -> Result<T, Error> {
+        let body = serde_json::to_vec(body).map_err(|_| Error::NotDone)?;
+        let uri = format!("{}/table/{verb}", self.base);
+        self.messages.add(kind, 2);
+        let call = http::Call::new(Method::POST, uri, body);
+        let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
+        if !answer.status.is_success() {
+            return Err(Error::NotDone);
+        }
+        serde_json::from_slice(&answer.body).map_err(|_| Error::Unknown)
+    }
+
+    async fn object(
+        &self,
+        method: Method,
+        name: &str,
+        body: Bytes,
+    ) -> Result<Option<Bytes>, Error> {
+        let uri = format!("{}/objects/{name}", self.base);
+        self.messages.add(count::Kind::Object, 2);
+        let call = http::Call::new(method, uri, body);
+        let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
+        if answer.status.as_u16() == 404 {
+            return Ok(None);
+        }
+        if !answer.status.is_success() {
+            return Err(Error::NotDone);
+        }
+        Ok(Some(answer.body))
+    }
+}
+
+fn from_http(error: http::Error) -> Error {
+    match error {
+        http::Error::NotSent => Error::NotDone,
+        http::Error::Broken | http::Error::TimedOut | http::Error::TooLarge => Error::Unknown,
+    }
+}
