--- /dev/null
+++ b/src/decide/owner/agents.rs
@@ -0,0 +1,137 @@
+//! What the owner makes of its agents: links that come and go, loads, notices.
+
+use std::time;
+
+use crate::code;
+use crate::decide::action::Action;
+use crate::decide::fleet;
+use crate::decide::inherit;
+use crate::decide::job::Progress;
+use crate::decide::ledger;
+use crate::decide::notice;
+use crate::decide::order;
+use crate::decide::owner::Owner;
+use crate::id;
+use crate::task;
+
+impl Owner {
+    /// Takes the first notice of an agent's link.
+    pub fn welcome(
+        &mut self,
+        now: time::Instant,
+        id: &id::AgentId,
+        welcome: notice::Welcome,
+        load: notice::Load,
+    ) {
+        let life = inherit::Life {
+            agent: id.clone(),
+            incarnation: welcome.incarnation,
+        };
+        self.inheritance.report(&life, &welcome.tasks);
+        let known = self
+            .fleet
+            .get(id)
+            .map(|agent| (agent.incarnation, agent.sent, agent.taken));
+        let same = known.filter(|(incarnation, ..)| *incarnation == welcome.incarnation);
+        if known.is_some() && same.is_none() {
+            // The agent came back with an empty memory; what it had started nobody can tell.
+            self.lose(now, id);
+        }
+        let (sent, taken) = same.map_or((0, task::Needs::default()), |(_, sent, taken)| {
+            (sent, taken)
+        });
+        self.fleet.insert(
+            id.clone(),
+            fleet::Agent {
+                incarnation: welcome.incarnation,
+                failure_domain: welcome.failure_domain,
+                rack: welcome.rack,
+                state: fleet::State::Up,
+                since: now,
+                load,
+                sent,
+                taken,
+            },
+        );
+        self.ask_outstanding(id);
+        self.settle(now);
+        self.dispatch(now);
+    }
+
+    /// Takes the load that rode on an agent's message.
+    pub fn load(&mut self, now: time::Instant, id: &id::AgentId, load: notice::Load) {
+        self.fleet.update(id, |agent| agent.load = load);
+        self.dispatch(now);
+    }
+
+    /// Takes a notice of an agent, apart from its welcome.
+    pub fn notice(&mut self, now: time::Instant, agent: &id::AgentId, notice: notice::Notice) {
+        match notice {
+            notice::Notice::Answer(answer) => self.answer(now, agent, answer),
+            notice::Notice::Refused(id, code) => self.refused(now, agent, &id, code),
+            notice::Notice::Standing(id, standing) => self.standing(now, agent, &id, standing),
+            notice::Notice::Welcome(_) | notice::Notice::Stale(_) | notice::Notice::Heartbeat => {}
+        }
+    }
+
+    /// Notes that an agent's link is gone.
+    pub fn link_lost(&mut self, now: time::Instant, id: &id::AgentId) {
+        self.fleet.update(id, |agent| {
+            if agent.state == fleet::State::Up {
+                agent.state = fleet::State::Silent;
+                agent.since = now;
+            }
+        });
+    }
+
+    /// Gives an agent up: what it may have started is answered as unknown.
+    pub fn lose(&mut self, now: time::Instant, id: &id::AgentId) {
+        self.fleet.remove(id);
+        for task in self.outstanding.remove(id).unwrap_or_default() {
+            self.drop_task(&task);
+            self.fail(now, &task.job, code::Code::WorkerLost);
+        }
+    }
+
+    pub(super) fn standing(
+        &mut self,
+        now: time::Instant,
+        agent: &id::AgentId,
+        id: &task::Id,
+        standing: ledger::Standing,
+    ) {
+        match standing {
+            ledger::Standing::Withdrawn => self.requeue(now, agent, id),
+            // The answer follows, or came already.
+            ledger::Standing::Started | ledger::Standing::Done => {}
+            ledger::Standing::Gone => {
+                if self.give_back(now, agent, id, None).is_some() {
+                    self.fail(now, &id.job, code::Code::AnswerGone);
+                }
+            }
+        }
+    }
+
+    /// Marks a task whose agent is lost.
+    pub(super) fn drop_task(&mut self, id: &task::Id) {
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            let task = &mut job.tasks[id.index as usize];
+            if job.ending.is_some() {
+                *task = Progress::Dropped;
+            }
+        }
+    }
+
+    /// Asks an agent that is back how the tasks stand that were sent to it.
+    pub(super) fn ask_outstanding(&mut self, id: &id::AgentId) {
+        let Some(tasks) = self.outstanding.get(id) else {
+            return;
+        };
+        if tasks.is_empty() {
+            return;
+        }
+        let ids = tasks.iter().cloned().collect();
+        self.actions
+            .push(Action::Order(id.clone(), order::Order::Resolve(ids)));
+    }
+}
--- /dev/null
+++ b/src/decide/owner/endings.rs
@@ -0,0 +1,123 @@
+//! How jobs end, who is told, and how long it is remembered.
+
+use std::sync::Arc;
+use std::time;
+
+use crate::code;
+use crate::decide::action::{self, Action};
+use crate::decide::job::{self, Progress};
+use crate::decide::order;
+use crate::decide::owner::{self, Owner};
+use crate::id;
+use crate::refusal;
+use crate::submission;
+
+impl Owner {
+    /// Attaches a waiter to a job that is known under the key.
+    pub(super) fn attach(
+        &mut self,
+        submission: &submission::Submission,
+        waiter: action::Waiter,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&submission.key) else {
+            return false;
+        };
+        if job.submission.digest != submission.digest {
+            self.refuse(waiter, refusal::Refusal::new(code::Code::KeyReused));
+            return true;
+        }
+        match &job.ending {
+            Some(ending) => self.actions.push(Action::Reply(waiter, ending.clone())),
+            None => job.waiters.push(waiter),
+        }
+        true
+    }
+
+    pub(super) fn refuse(&mut self, waiter: action::Waiter, refusal: refusal::Refusal) {
+        let ending = Arc::new(submission::Ending::Failed(refusal));
+        self.actions.push(Action::Reply(waiter, ending));
+    }
+
+    /// Ends a job without an answer, if it hasn't ended.
+    pub(super) fn fail(&mut self, now: time::Instant, key: &id::JobKey, reason: code::Code) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if job.ending.is_some() {
+            return;
+        }
+        let refusal = job.refusal(reason);
+        let withdrawn = self.queue.remove(key);
+        let job = self.jobs.get_mut(key).expect("the job was there");
+        for task in &withdrawn {
+            job.tasks[task.id.index as usize] = Progress::Dropped;
+        }
+        for agent in &job.agents {
+            self.actions.push(Action::Order(
+                agent.clone(),
+                order::Order::Cancel(key.clone()),
+            ));
+        }
+        let forget = refusal.not_run && refusal.code != code::Code::CancelledBefore;
+        self.end(now, key, submission::Ending::Failed(refusal));
+        if forget {
+            // Nothing ran, so a retry under the same key starts from nothing.
+            self.jobs.remove(key);
+        }
+    }
+
+    pub(super) fn end(&mut self, now: time::Instant, key: &id::JobKey, ending: submission::Ending) {
+        let job = self.jobs.get_mut(key).expect("a job that ends is there");
+        let ending = Arc::new(ending);
+        job.ending = Some(ending.clone());
+        for waiter in std::mem::take(&mut job.waiters) {
+            self.actions.push(Action::Reply(waiter, ending.clone()));
+        }
+        for task in &mut job.tasks {
+            if matches!(task, Progress::Done(_)) {
+                *task = Progress::Dropped;
+            }
+        }
+        self.deadlines.remove(&(job.deadline, key.clone()));
+        self.ended.push_back((now, key.clone()));
+        self.unacknowledged.push_back((now, key.clone()));
+    }
+
+    /// Lets agents drop the answers of jobs that ended a while ago and whose claim is written.
+    pub(super) fn acknowledge(&mut self, now: time::Instant) {
+        while let Some((at, key)) = self.unacknowledged.front() {
+            if now.saturating_duration_since(*at) < owner::ACKNOWLEDGE_AFTER {
+                return;
+            }
+            let job = self.jobs.get(key);
+            if job.is_some_and(|job| job.claim != job::Claim::Written && job.ending.is_some()) {
+                // Without its claim in the table the agents' records are all that tells of it.
+                let later = (now, key.clone());
+                self.unacknowledged.pop_front();
+                self.unacknowledged.push_back(later);
+                return;
+            }
+            if let Some(job) = job.filter(|job| job.ending.is_some()) {
+                for agent in &job.agents {
+                    let order = order::Order::Acknowledge(key.clone());
+                    self.actions.push(Action::Order(agent.clone(), order));
+                }
+            }
+            self.unacknowledged.pop_front();
+        }
+    }
+
+    pub(super) fn forget(&mut self, now: time::Instant) {
+        while let Some((at, key)) = self.ended.front() {
+            let old = now.saturating_duration_since(*at) >= owner::KEEP
+                || self.ended.len() > owner::MAX_KEPT;
+            if !old {
+                return;
+            }
+            if self.jobs.get(key).is_some_and(|job| job.ending.is_some()) {
+                self.jobs.remove(key);
+            }
+            self.ended.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/owner/mod.rs
@@ -0,0 +1,277 @@
+//! The owner of a cell: takes submissions, hands out tasks, gathers answers, ends jobs.
+//!
+//! Events come in through the methods, with the time; what is to be done leaves as
+//! [`action::Action`]s. The promises that it keeps are listed in `docs/design/claims.md`.
+
+mod admission;
+mod agents;
+mod endings;
+mod resume;
+mod tasks;
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time;
+
+use crate::class;
+use crate::code;
+use crate::decide::action::{self, Action};
+use crate::decide::estimate;
+use crate::decide::fleet;
+use crate::decide::inherit;
+use crate::decide::job;
+use crate::decide::ledger;
+use crate::decide::queue;
+use crate::id;
+use crate::refusal;
+use crate::submission;
+use crate::task;
+
+/// Silence of an agent's link after which its tasks are given up as lost.
+pub const LOST_AFTER: time::Duration = time::Duration::from_secs(2);
+
+/// How long an ended job's answers stay at the agents, for a caller that lost the owner with it.
+pub const ACKNOWLEDGE_AFTER: time::Duration = time::Duration::from_secs(10);
+
+/// How long an ending is kept for resubmissions.
+pub const KEEP: time::Duration = ledger::RETENTION;
+
+/// Most ended jobs that are kept.
+pub const MAX_KEPT: usize = 20_000;
+
+/// What the operators and the command line set for an owner.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Policy {
+    /// Who goes next.
+    pub queue: queue::Policy,
+    /// Where to.
+    pub placement: fleet::Placement,
+    /// Whether every claim is written ahead of the start.
+    pub claims_ahead: bool,
+}
+
+/// The owner of one cell in one epoch.
+#[derive(Debug)]
+pub struct Owner {
+    epoch: id::Epoch,
+    policy: Policy,
+    inheritance: inherit::Inheritance,
+    ready: bool,
+    parked: Vec<(Arc<submission::Submission>, action::Waiter)>,
+    jobs: HashMap<id::JobKey, job::Job>,
+    deadlines: BTreeSet<(time::Instant, id::JobKey)>,
+    ended: VecDeque<(time::Instant, id::JobKey)>,
+    unacknowledged: VecDeque<(time::Instant, id::JobKey)>,
+    outstanding: HashMap<id::AgentId, BTreeSet<task::Id>>,
+    queue: queue::Queue,
+    fleet: fleet::Fleet,
+    estimates: estimate::Estimates,
+    config: Arc<class::Versioned>,
+    table_seen: time::Instant,
+    actions: Vec<Action>,
+}
+
+impl Owner {
+    /// Opens the owner of an epoch that was just written to the table, `wall` since the Unix epoch.
+    pub fn open(
+        epoch: id::Epoch,
+        policy: Policy,
+        config: Arc<class::Versioned>,
+        now: time::Instant,
+        wall: time::Duration,
+    ) -> Owner {
+        Owner {
+            epoch,
+            policy,
+            inheritance: inherit::Inheritance::open(now, wall),
+            ready: false,
+            parked: Vec::new(),
+            jobs: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            ended: VecDeque::new(),
+            unacknowledged: VecDeque::new(),
+            outstanding: HashMap::new(),
+            queue: queue::Queue::open(policy.queue, now),
+            fleet: fleet::Fleet::open(policy.placement, epoch),
+            estimates: estimate::Estimates::default(),
+            config,
+            table_seen: now,
+            actions: Vec::new(),
+        }
+    }
+
+    /// The epoch.
+    pub fn epoch(&self) -> id::Epoch {
+        self.epoch
+    }
+
+    /// Tells whether submissions are looked up, no longer parked.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// The agents, for placement and status.
+    pub fn fleet(&self) -> &fleet::Fleet {
+        &self.fleet
+    }
+
+    /// The waiting tasks, for status.
+    pub fn queue(&self) -> &queue::Queue {
+        &self.queue
+    }
+
+    /// Jobs that have not ended.
+    pub fn open_jobs(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// What is to be done, in order; empties the list.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Puts a newer configuration into force.
+    pub fn configure(&mut self, config: Arc<class::Versioned>) {
+        if config.version > self.config.version {
+            self.config = config;
+        }
+    }
+
+    /// Notes that the owner saw itself in the table by an operation that began at `begun`.
+    pub fn table_seen(&mut self, begun: time::Instant) {
+        self.table_seen = self.table_seen.max(begun);
+    }
+
+    /// Takes the members of the cell, read after the epoch was raised.
+    pub fn members(
+        &mut self,
+        now: time::Instant,
+        lives: Vec<inherit::Life>,
+        lost: &[inherit::LostLife],
+    ) {
+        self.inheritance.members(now, lives, lost);
+        self.settle(now);
+    }
+
+    /// Takes the claims of earlier owners, read after the epoch was raised.
+    pub fn claims(&mut self, now: time::Instant, claims: Vec<inherit::Claimed>) {
+        self.inheritance.claims(claims);
+        self.settle(now);
+    }
+
+    /// Takes a submission. Its ending goes to the waiter, once.
+    pub fn submit(
+        &mut self,
+        now: time::Instant,
+        submission: Arc<submission::Submission>,
+        waiter: action::Waiter,
+    ) {
+        if !self.ready {
+            self.parked.push((submission, waiter));
+            return;
+        }
+        if self.attach(&submission, waiter) {
+            return;
+        }
+        let minted = submission.minted_ms.map(time::Duration::from_millis);
+        match self
+            .inheritance
+            .look(&submission.key, submission.digest, minted)
+        {
+            inherit::Found::Fresh => self.admit(now, submission, waiter),
+            inherit::Found::Known {
+                tasks,
+                rest_startable,
+            } => {
+                self.resume(now, submission, waiter, tasks, rest_startable);
+            }
+            inherit::Found::MayHaveRun => {
+                self.refuse(waiter, refusal::Refusal::new(code::Code::MayHaveRun))
+            }
+            inherit::Found::Reused => {
+                self.refuse(waiter, refusal::Refusal::new(code::Code::KeyReused))
+            }
+        }
+        self.dispatch(now);
+    }
+
+    /// Withdraws a job; the waiter is told how the job ended.
+    pub fn cancel(&mut self, now: time::Instant, key: &id::JobKey, waiter: action::Waiter) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            self.refuse(waiter, refusal::Refusal::new(code::Code::NotFound));
+            return;
+        };
+        if let Some(ending) = &job.ending {
+            self.actions.push(Action::Reply(waiter, ending.clone()));
+            return;
+        }
+        job.waiters.push(waiter);
+        self.fail(now, key, code::Code::Cancelled);
+        self.dispatch(now);
+    }
+
+    /// Notes that claims are in the table; tasks that waited for them may start.
+    pub fn claimed(&mut self, now: time::Instant, keys: &[id::JobKey]) {
+        for key in keys {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            let awaited = job.claim == job::Claim::Awaited;
+            job.claim = job::Claim::Written;
+            if awaited && job.ending.is_none() {
+                self.enqueue(key);
+            }
+        }
+        self.dispatch(now);
+    }
+
+    /// Notes that claims can't be written now: what waits for them is given up, not run.
+    pub fn claim_refused(&mut self, now: time::Instant, keys: &[id::JobKey], reason: code::Code) {
+        for key in keys {
+            let awaited = self
+                .jobs
+                .get(key)
+                .is_some_and(|job| job.claim == job::Claim::Awaited);
+            if awaited {
+                self.fail(now, key, reason);
+            }
+        }
+    }
+
+    /// Does what is due: passed targets, lost agents, acknowledgements, old endings.
+    pub fn tick(&mut self, now: time::Instant) {
+        self.settle(now);
+        while let Some((deadline, key)) = self.deadlines.first().cloned() {
+            if deadline > now {
+                break;
+            }
+            self.fail(now, &key, code::Code::TaskTimeout);
+        }
+        let is_lost = |agent: &fleet::Agent| {
+            agent.state == fleet::State::Silent
+                && now.saturating_duration_since(agent.since) >= LOST_AFTER
+        };
+        let agents = self.fleet.agents().iter();
+        let lost: Vec<id::AgentId> = agents
+            .filter(|(_, a)| is_lost(a))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lost {
+            self.lose(now, &id);
+        }
+        self.acknowledge(now);
+        self.forget(now);
+        self.dispatch(now);
+    }
+
+    /// Leaves the not yet ready state once the knowledge is complete, and takes up what was parked.
+    fn settle(&mut self, now: time::Instant) {
+        if self.ready || !self.inheritance.is_ready(now) {
+            return;
+        }
+        self.ready = true;
+        for (submission, waiter) in std::mem::take(&mut self.parked) {
+            self.submit(now, submission, waiter);
+        }
+    }
+}
