Count an entry's patience from the loss of the owner, not from the submission

Cause: found by reading. A job that had run longer than the patience (5 s) at an owner that then died was answered ForwardLost at once, although a new owner would have collected it a moment later. Change: the patience runs from the last time that an owner had the submission.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -174,9 +174,10 @@
     pub async fn run(&self, submission: Arc<Submission>) -> Arc<submission::Ending> {
         let _flight = Flight::begin(self);
         let cell = key::cell(&submission.key, self.cfg.cells);
-        let begun = time::Instant::now();
+        let mut lost_since = None;
         let mut handed_over = false;
         loop {
+            let tried_at = time::Instant::now();
             let ending = match self.place(cell) {
                 Place::Here(owner) => {
                     handed_over = true;
@@ -194,7 +195,12 @@
             if let Some(ending) = ending {
                 return ending;
             }
-            if begun.elapsed() >= self.patience(&submission) {
+            // A job that an owner had for a while before it died has all its patience still.
+            let now = time::Instant::now();
+            if tried_at.elapsed() > LOOK_AGAIN {
+                lost_since = Some(now);
+            }
+            if lost_since.get_or_insert(now).elapsed() >= self.patience(&submission) {
                 return Arc::new(submission::Ending::Failed(lost(handed_over)));
             }
             self.ownership.look();
