Count the bytes of links and of the table, by kind

The budget of control is in bytes per second and node, and only messages were counted. A link now hands every message it encodes to a counter with its size; the table's client adds its exchanges. Ruled out: the counters of the loopback device, which hold the traffic of the whole machine. TCP and IP headers are not in the figures.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -134,10 +134,8 @@
     link::Service {
         greet: Arc::new(move |hello, tx| greeting.greet(&hello, tx)),
         take: Arc::new(move |down| taking.take(down)),
-        group: Arc::new(move |notices| {
-            messages.add(agent::kind_up(&notices), 1);
-            grouping.group(notices)
-        }),
+        group: Arc::new(move |notices| grouping.group(notices)),
+        sent: Arc::new(move |up, bytes| messages.sent(agent::kind_up(&up.notices), bytes)),
     }
 }
 
--- a/src/count.rs
+++ b/src/count.rs
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Messages {
     sent: Arc<[AtomicU64; 10]>,
-    bytes: Arc<AtomicU64>,
+    bytes: Arc<[AtomicU64; 10]>,
 }
 
 impl Messages {
@@ -59,14 +59,28 @@
         self.sent[kind as usize].fetch_add(n, Ordering::Relaxed);
     }
 
-    /// Adds bytes of control traffic, so that the budget per node can be checked.
-    pub fn add_control_bytes(&self, n: u64) {
-        self.bytes.fetch_add(n, Ordering::Relaxed);
+    /// Adds bytes of a kind, without what TCP and IP add to them.
+    pub fn add_bytes(&self, kind: Kind, n: u64) {
+        self.bytes[kind as usize].fetch_add(n, Ordering::Relaxed);
     }
 
-    /// Bytes of control traffic so far.
+    /// Adds one message of a kind with its bytes.
+    pub fn sent(&self, kind: Kind, bytes: usize) {
+        self.add(kind, 1);
+        self.add_bytes(kind, bytes as u64);
+    }
+
+    /// Bytes of one kind.
+    pub fn bytes(&self, kind: Kind) -> u64 {
+        self.bytes[kind as usize].load(Ordering::Relaxed)
+    }
+
+    /// Bytes of control: links without starts, answers or submissions, and the platform's table.
     pub fn control_bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
+        [Kind::Control, Kind::TableWrite, Kind::TableRead]
+            .into_iter()
+            .map(|kind| self.bytes(kind))
+            .sum()
     }
 
     /// The count of one kind.
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -506,6 +506,10 @@
     let peer = link::Peer {
         take: taker(cell.clone(), id.clone(), sender.clone()),
         group: grouper(&strong.scope, sender.clone()),
+        sent: {
+            let messages = strong.scope.messages.clone();
+            Arc::new(move |down, bytes| messages.sent(agent::kind_down(&down.orders), bytes))
+        },
         closed: {
             let closed = closed.clone();
             Box::new(move || closed.notify_one())
@@ -536,14 +540,11 @@
 type Grouper = Arc<dyn Fn(Vec<Order>) -> agent::Down + Send + Sync>;
 
 fn grouper(scope: &Scope, sender: Arc<LinkSender>) -> Grouper {
-    let (cell, epoch, messages) = (scope.cell, scope.epoch, scope.messages.clone());
-    Arc::new(move |orders| {
-        messages.add(agent::kind_down(&orders), 1);
-        agent::Down {
-            cell,
-            epoch,
-            incarnation: sender.incarnation.load(Ordering::SeqCst),
-            orders,
-        }
+    let (cell, epoch) = (scope.cell, scope.epoch);
+    Arc::new(move |orders| agent::Down {
+        cell,
+        epoch,
+        incarnation: sender.incarnation.load(Ordering::SeqCst),
+        orders,
     })
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -232,14 +232,12 @@
     };
     let ends = link::Peer {
         take: Arc::new(move |up| taking.take(&weak, up)),
-        group: Arc::new(move |items: Vec<Passed>| {
-            messages.add(peer::kind_down(&items), 1);
-            peer::Down {
-                entry: entry.clone(),
-                config: grouping.version(),
-                items,
-            }
+        group: Arc::new(move |items: Vec<Passed>| peer::Down {
+            entry: entry.clone(),
+            config: grouping.version(),
+            items,
         }),
+        sent: Arc::new(move |down, bytes| messages.sent(peer::kind_down(&down.items), bytes)),
         closed: Box::new(move || {
             if closing.connections.load(Ordering::SeqCst) == number {
                 closing.lose();
@@ -290,10 +288,10 @@
             }
         }),
         group: Arc::new(move |items: Vec<Returned>| {
-            messages.add(peer::kind_up(&items), 1);
             let config = grouping.core().map_or(0, |core| core.config.version());
             peer::Up { config, items }
         }),
+        sent: Arc::new(move |up, bytes| messages.sent(peer::kind_up(&up.items), bytes)),
     }
 }
 
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -31,6 +31,9 @@
 /// Messages that a client holds for a reader that is behind.
 const MAX_UNREAD: usize = 65_536;
 
+/// Bytes that JSON-RPC and the WebSocket frame add to a message, about.
+const ENVELOPE: usize = 90;
+
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -64,8 +67,10 @@
     pub greet: Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>,
     /// Takes one message of the client.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the server, and counts it.
+    /// Groups items into one message of the server.
     pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    /// Counts a message of the server that leaves, with its bytes.
+    pub sent: Arc<dyn Fn(&Out, usize) + Send + Sync>,
 }
 
 /// Binds a server of links.
@@ -96,17 +101,45 @@
         .build(addr)
         .await?;
     let addr = server.local_addr()?;
-    let module = module(service.greet, service.group)?;
+    let outbox = Outbox {
+        group: service.group,
+        sent: service.sent,
+    };
+    let module = module(service.greet, outbox)?;
     let handle = server.start(module);
     Ok(Server { addr, handle })
 }
 
 type Greet<Hello, Item> = Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>;
-type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
+
+/// Turns what waits into one message on the wire.
+struct Outbox<Item, Out> {
+    group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    sent: Arc<dyn Fn(&Out, usize) + Send + Sync>,
+}
+
+impl<Item, Out> Clone for Outbox<Item, Out> {
+    fn clone(&self) -> Self {
+        Outbox {
+            group: self.group.clone(),
+            sent: self.sent.clone(),
+        }
+    }
+}
+
+impl<Item, Out: Serialize> Outbox<Item, Out> {
+    /// Groups and encodes items, and counts the message.
+    fn encode(&self, items: Vec<Item>) -> serde_json::Result<Box<value::RawValue>> {
+        let message = (self.group)(items);
+        let raw = value::to_raw_value(&message)?;
+        (self.sent)(&message, raw.get().len() + ENVELOPE);
+        Ok(raw)
+    }
+}
 
 fn module<Hello, Item, Out>(
     greet: Greet<Hello, Item>,
-    group: Group<Item, Out>,
+    outbox: Outbox<Item, Out>,
 ) -> anyhow::Result<RpcModule<()>>
 where
     Hello: DeserializeOwned + Send + 'static,
@@ -116,7 +149,7 @@
     let mut module = RpcModule::new(());
     module.register_subscription("open", "up", "close", move |params, pending, _, _| {
         let greet = greet.clone();
-        let group = group.clone();
+        let outbox = outbox.clone();
         let hello = params.one::<Hello>();
         async move {
             let Ok(hello) = hello else {
@@ -124,7 +157,7 @@
             };
             let (tx, rx) = mpsc::unbounded_channel();
             greet(hello, tx);
-            write_up(pending, rx, group).await;
+            write_up(pending, rx, outbox).await;
         }
     })?;
     Ok(module)
@@ -133,7 +166,7 @@
 async fn write_up<Item, Out: Serialize>(
     pending: PendingSubscriptionSink,
     mut rx: Receiver<Item>,
-    group: Group<Item, Out>,
+    outbox: Outbox<Item, Out>,
 ) {
     let Ok(sink) = pending.accept().await else {
         return;
@@ -146,7 +179,7 @@
             },
             () = sink.closed() => return,
         }
-        let Ok(raw) = value::to_raw_value(&group(items)) else {
+        let Ok(raw) = outbox.encode(items) else {
             return;
         };
         if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
@@ -205,8 +238,10 @@
 pub struct Peer<Item, In, Out> {
     /// Takes one message of the server.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the client, and counts it.
+    /// Groups items into one message of the client.
     pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    /// Counts a message of the client that leaves, with its bytes.
+    pub sent: Arc<dyn Fn(&Out, usize) + Send + Sync>,
     /// Runs once when the link is gone.
     pub closed: Box<dyn FnOnce() + Send>,
 }
@@ -238,11 +273,15 @@
         .await?;
     let mut params = ArrayParams::new();
     params.insert(hello)?;
+    let outbox = Outbox {
+        group: peer.group,
+        sent: peer.sent,
+    };
     let subscription: Subscription<In> = client.subscribe("open", params, "close").await?;
     tokio::spawn(async move {
         tokio::select! {
             () = read(subscription, peer.take) => {}
-            () = write_down(client, rx, peer.group) => {}
+            () = write_down(client, rx, outbox) => {}
         }
         (peer.closed)();
     });
@@ -285,7 +324,7 @@
 async fn write_down<Item, Out: Serialize>(
     client: WsClient,
     mut rx: Receiver<Item>,
-    group: Group<Item, Out>,
+    outbox: Outbox<Item, Out>,
 ) {
     loop {
         let mut items = Vec::new();
@@ -293,7 +332,7 @@
             return;
         }
         let mut params = ArrayParams::new();
-        let inserted = params.insert(group(items));
+        let inserted = outbox.encode(items).and_then(|raw| params.insert(raw));
         if inserted.is_err() || client.notification("down", params).await.is_err() {
             return;
         }
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -21,6 +21,9 @@
 /// Largest answer that the table or the object store may give, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
+/// Bytes that HTTP's request and status lines and headers add to an exchange, about.
+const HEADERS: usize = 260;
+
 /// Counts the changes of one row; 0 means that the row is absent.
 pub type Revision = u64;
 
@@ -238,8 +241,11 @@
         let body = serde_json::to_vec(body).map_err(|_| Error::NotDone)?;
         let uri = format!("{}/table/{verb}", self.base);
         self.messages.add(kind, 2);
+        let sent = body.len();
         let call = http::Call::new(Method::POST, uri, body);
         let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
+        let bytes = sent + answer.body.len() + HEADERS;
+        self.messages.add_bytes(kind, bytes as u64);
         if !answer.status.is_success() {
             return Err(Error::NotDone);
         }
