Spread the cells fairly over the entries that are alive

With more than one cell the first entry to look took every vacant cell and kept it, so the other entries only forwarded. Each entry now keeps a row of its own in the table (only where there is more than one cell), leaves a vacant cell for a while to those that hold fewer, looks at cells in an order of its own, and pulls one cell every ten seconds from the entry that holds most, if that one holds two more than itself.

Ruled out: rendezvous hashing alone, which leaves some of sixteen entries with several cells and others with none; handing cells over by emptying their rows, which leaves a cell without writable claims until somebody looks, up to two seconds. A pull costs one takeover.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -4,3 +4,4 @@
 pub mod config;
 pub mod membership;
 pub mod ownership;
+pub mod roll;
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -10,6 +10,8 @@
 use compact_str::CompactString;
 use tokio::sync::Notify;
 
+use crate::controller::roll;
+use crate::decide::spread;
 use crate::id;
 use crate::wire::platform::{self, Commit, Condition, Revision, Transaction, Write};
 use crate::wire::rows;
@@ -62,7 +64,9 @@
     candidate: Candidate,
     cells: u16,
     events: Events,
+    roll: roll::Roll,
     inner: Mutex<HashMap<id::Cell, State>>,
+    moves: Mutex<Moves>,
     wake: Notify,
 }
 
@@ -74,6 +78,15 @@
     suspicion: Option<(id::Epoch, Suspicion)>,
     beat_seen: Option<(Revision, time::Instant)>,
     resigned: bool,
+    /// Since when the cell has been seen without an owner.
+    vacant: Option<time::Instant>,
+}
+
+/// When cells last came to this entry.
+#[derive(Debug, Default)]
+struct Moves {
+    taken: Option<time::Instant>,
+    pulled: Option<time::Instant>,
 }
 
 /// Opens the ownership of one entry.
@@ -84,6 +97,8 @@
     events: Events,
 ) -> Arc<Ownership> {
     Arc::new(Ownership {
+        roll: roll::open(table.clone(), candidate.entry.clone()),
+        moves: Mutex::default(),
         table,
         candidate,
         cells,
@@ -118,6 +133,9 @@
 
     /// Hands all owned cells over: others find them without an owner. Takes none from now on.
     pub async fn resign(&self) {
+        if self.spreads() {
+            self.roll.leave().await;
+        }
         for cell in 0..self.cells {
             let state = self.change(cell, |state| {
                 state.resigned = true;
@@ -169,7 +187,7 @@
             let inner = self.inner.lock().expect("the ownership is whole");
             inner
                 .values()
-                .any(|state| state.suspicion.is_some() && state.owned.is_none())
+                .any(|state| state.owned.is_none() && state.is_pending())
         };
         let pause = if suspicious { RETRY } else { BEAT };
         let woken = tokio::time::timeout(pause, self.wake.notified())
@@ -184,33 +202,103 @@
             return;
         };
         let by_key: HashMap<_, _> = found.iter().map(|row| (row.key.clone(), row)).collect();
-        for cell in 0..self.cells {
+        let mut holdings = self.holdings(&found).await;
+        for cell in spread::order(&self.candidate.entry, self.cells) {
             let row = by_key.get(&rows::cell(cell)).copied();
-            self.look_at(cell, row).await;
+            if self.look_at(cell, row, &holdings).await {
+                holdings.add(&self.candidate.entry, cell);
+            }
+        }
+        self.pull(&holdings, &by_key).await;
+    }
+
+    /// Tells whether there are cells to spread.
+    fn spreads(&self) -> bool {
+        self.cells > 1
+    }
+
+    /// Who is alive and holds what. With one cell there is nothing to wait for.
+    async fn holdings(&self, found: &[platform::Row]) -> spread::Holdings {
+        if !self.spreads() || self.change(0, |state| state.resigned) {
+            return spread::Holdings::default();
+        }
+        let alive = self.roll.call().await;
+        let owners: Vec<_> = (0..self.cells)
+            .filter_map(|cell| Some((cell, owner_of(found, cell)?.entry)))
+            .collect();
+        spread::Holdings::gather(&alive, owners.iter().map(|(cell, id)| (*cell, id)))
+    }
+
+    /// Pulls one cell where another entry holds too many.
+    async fn pull(
+        &self,
+        holdings: &spread::Holdings,
+        by_key: &HashMap<CompactString, &platform::Row>,
+    ) {
+        let Some(cell) = holdings.pull(&self.candidate.entry) else {
+            return;
+        };
+        {
+            let pulled = &mut self.moves.lock().expect("the ownership is whole").pulled;
+            // The first look of an entry sees others that have not looked yet.
+            let since = *pulled.get_or_insert_with(time::Instant::now);
+            if since.elapsed() < spread::PULL_PAUSE {
+                return;
+            }
+            *pulled = Some(time::Instant::now());
+        }
+        let Some(row) = by_key.get(&rows::cell(cell)) else {
+            return;
+        };
+        if let Ok(owner) = serde_json::from_str::<rows::Owner>(&row.value) {
+            log::info!(
+                "cell {cell} is pulled from {}, which holds more",
+                owner.entry
+            );
+            self.take(cell, row.revision, owner.epoch).await;
         }
     }
 
-    async fn look_at(&self, cell: id::Cell, row: Option<&platform::Row>) {
+    /// Looks at one cell; a vacant one is left for a while to entries that hold fewer. Tells
+    /// whether it was taken.
+    async fn look_at(
+        &self,
+        cell: id::Cell,
+        row: Option<&platform::Row>,
+        holdings: &spread::Holdings,
+    ) -> bool {
         let revision = row.map_or(0, |row| row.revision);
         let owner = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
         let Some(owner) = owner.filter(|owner| !owner.entry.is_empty()) else {
             let epoch = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
-            self.take(cell, revision, epoch.map_or(0, |owner| owner.epoch))
+            if !self.has_waited(cell, holdings) {
+                return false;
+            }
+            return self
+                .take(cell, revision, epoch.map_or(0, |owner| owner.epoch))
                 .await;
-            return;
         };
         let mine = owner.entry == self.candidate.entry;
         if mine && owner.incarnation == self.candidate.incarnation {
             self.own(cell, owner.epoch, revision);
-            return;
+            return false;
         }
         self.change(cell, |state| state.owned = None);
         // An earlier life of this entry surely runs no more.
         if mine || self.is_gone(cell, owner.epoch).await {
-            self.take(cell, revision, owner.epoch).await;
-            return;
+            return self.has_waited(cell, holdings) && self.take(cell, revision, owner.epoch).await;
         }
+        self.change(cell, |state| state.vacant = None);
         (self.events.other)(cell, &owner);
+        false
+    }
+
+    /// Tells whether a cell has been without an owner for long enough.
+    fn has_waited(&self, cell: id::Cell, holdings: &spread::Holdings) -> bool {
+        let now = time::Instant::now();
+        let vacant = self.change(cell, |state| *state.vacant.get_or_insert(now));
+        let taken = self.moves.lock().expect("the ownership is whole").taken;
+        holdings.may_take(&self.candidate.entry, now, vacant, taken)
     }
 
     /// Tells whether a suspected owner is to be replaced.
@@ -235,9 +323,10 @@
         }
     }
 
-    async fn take(&self, cell: id::Cell, revision: Revision, epoch: id::Epoch) {
+    /// Takes a cell, and tells whether it surely did.
+    async fn take(&self, cell: id::Cell, revision: Revision, epoch: id::Epoch) -> bool {
         if self.change(cell, |state| state.resigned) {
-            return;
+            return false;
         }
         // Candidates that saw the same are spread a little, so that most never try in vain.
         tokio::time::sleep(time::Duration::from_millis(rand::random_range(0..40))).await;
@@ -250,9 +339,17 @@
         let value = serde_json::to_string(&owner).unwrap_or_default();
         let tx = Transaction::put_if(&rows::cell(cell), revision, value);
         match (self.table.commit)(tx).await {
-            Ok(Commit::Done(revision)) => self.own(cell, epoch + 1, revision),
+            Ok(Commit::Done(revision)) => {
+                self.moves.lock().expect("the ownership is whole").taken =
+                    Some(time::Instant::now());
+                self.own(cell, epoch + 1, revision);
+                true
+            }
             // Somebody else was quicker, or the answer was lost: the next look tells.
-            Ok(Commit::Conflict(_)) | Err(_) => self.wake.notify_one(),
+            Ok(Commit::Conflict(_)) | Err(_) => {
+                self.wake.notify_one();
+                false
+            }
         }
     }
 
@@ -262,6 +359,7 @@
             state.owned = Some((epoch, revision));
             state.suspicion = None;
             state.beat_seen = None;
+            state.vacant = None;
             news
         });
         if news {
@@ -303,3 +401,17 @@
         f(inner.entry(cell).or_default())
     }
 }
+
+impl State {
+    /// Tells whether the cell is to be looked at again soon.
+    fn is_pending(&self) -> bool {
+        self.suspicion.is_some() || self.vacant.is_some()
+    }
+}
+
+/// The owner of a cell, by the rows found.
+fn owner_of(found: &[platform::Row], cell: id::Cell) -> Option<rows::Owner> {
+    let key = rows::cell(cell);
+    let row = found.iter().find(|row| row.key == key)?;
+    serde_json::from_str(&row.value).ok()
+}
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -173,7 +173,7 @@
             http_addr: any(),
             peer_addr: peer_port,
             advertise: Some(peers.addr().to_compact_string()),
-            cells: 1,
+            cells: deployment.cells,
             policy,
             drain: time::Duration::from_secs(30),
         };
@@ -206,7 +206,7 @@
             advertise: Some(owners.addr().to_compact_string()),
             failure_domain: deployment.failure_domains[domain].into(),
             rack: format_compact!("rack-{rack}"),
-            cells: 1,
+            cells: deployment.cells,
             linger: time::Duration::from_secs(15),
         };
         let agent = agent::open(cfg, platform, messages).await?;
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -25,6 +25,8 @@
     pub domain_one_way: time::Duration,
     /// One-way latency to clients.
     pub client_one_way: time::Duration,
+    /// Cells that agents and keys are spread over.
+    pub cells: u16,
     /// Entry VMs.
     pub entries: usize,
     /// Workers, each with one backend server.
@@ -65,6 +67,7 @@
         failure_domains: ["poa-centro", "cwb-norte", "fln-ilha"],
         domain_one_way: time::Duration::from_millis(1),
         client_one_way: time::Duration::from_millis(1),
+        cells: 1,
         entries: 3,
         workers: 11,
         workers_per_rack: 3,
@@ -94,6 +97,7 @@
         failure_domains: ["kwinana", "northam", "bunbury"],
         domain_one_way: time::Duration::from_micros(500),
         client_one_way: time::Duration::from_millis(3),
+        cells: 1,
         entries: 3,
         workers: 11,
         workers_per_rack: 3,
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -24,6 +24,14 @@
     format_compact!("beat/{cell:05}")
 }
 
+/// Prefix of the rows of the entries that are alive.
+pub const ENTRIES: &str = "entry/";
+
+/// The row that an entry changes now and then, so that cells spread over those that are alive.
+pub fn entry(id: &str) -> CompactString {
+    format_compact!("{ENTRIES}{id}")
+}
+
 /// Prefix of the rows of a cell's agents.
 pub fn agents(cell: id::Cell) -> CompactString {
     format_compact!("agent/{cell:05}/")
