--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,3 +13,4 @@
 pub mod order;
 pub mod owner;
 pub mod queue;
+pub mod timing;
