Record a span per hop from plain moments, and give the wall clock one home

A slow answer could not be followed to the place where it waited. The owner's decisions now note when a job was taken, could start and ended, and when each task was queued, sent and came back; the entry and the agent make spans of these and of their own waits. Ids of the owner's spans are derived from their parent's, so that nothing is kept between a start and its answer. Spans leave by OTLP over HTTP once an export is opened; otherwise a caller's traceparent passes through as is. The SDK's batch processor was ruled out: its thread has no tokio runtime, which the hyper client needs.

The wall clock was read in three places by the same lines; it is read in clock.rs now.

--- a/src/agent/join.rs
+++ b/src/agent/join.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 
 use crate::agent::work::Work;
+use crate::clock;
 use crate::decide::inherit;
 use crate::decide::ledger;
 use crate::id;
@@ -93,7 +94,7 @@
 
 /// The lives that ended without a drain, the one before included, as long as they matter.
 fn lost_lives(before: rows::Agent) -> Vec<inherit::LostLife> {
-    let now_ms = since_epoch().as_millis() as u64;
+    let now_ms = clock::since_epoch().as_millis() as u64;
     let keep_ms = 2 * ledger::RETENTION.as_millis() as u64;
     let mut lost = before.lost;
     lost.retain(|life| life.at_ms + keep_ms > now_ms);
@@ -104,11 +105,6 @@
     lost
 }
 
-fn since_epoch() -> time::Duration {
-    let now = time::SystemTime::now();
-    now.duration_since(time::UNIX_EPOCH).unwrap_or_default()
-}
-
 /// Removes the row of a life that ended with nothing unaccounted for.
 pub async fn leave(cell: id::Cell, work: &Work, table: &platform::Table) {
     let key = rows::agent(cell, work.id());
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod join;
+mod spans;
 mod work;
 
 use std::net;
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
+use crate::agent::spans::Hops;
 use crate::agent::Config;
 use crate::code;
 use crate::count;
@@ -41,7 +42,7 @@
     ledger: Ledger,
     backend: Option<Backend>,
     running: HashMap<task::Id, Running>,
-    waiting: VecDeque<order::Start>,
+    waiting: VecDeque<Waiting>,
     owner: Option<link::Sender<Notice>>,
     draining: bool,
 }
@@ -51,6 +52,12 @@
     heard: time::Instant,
 }
 
+/// A start that waits for a slot.
+struct Waiting {
+    start: order::Start,
+    since: time::Instant,
+}
+
 struct Running {
     abort: AbortHandle,
     since: time::Instant,
@@ -159,7 +166,7 @@
                     ran_us,
                 }));
             } else {
-                inner.waiting.retain(|start| start.id != id);
+                inner.waiting.retain(|waiting| waiting.start.id != id);
                 inner.ledger.unstart(now, &id);
                 inner.tell(Notice::Refused(id, code::Code::Burned));
             }
@@ -171,16 +178,16 @@
     fn fill(self: &Arc<Self>, inner: &mut Inner) {
         let now = time::Instant::now();
         while inner.running.len() < inner.slots(now) as usize {
-            let Some(start) = inner.waiting.pop_front() else {
+            let Some(waiting) = inner.waiting.pop_front() else {
                 return;
             };
             let Some(backend) = &inner.backend else {
                 return;
             };
             let addr = backend.announcement.addr.clone();
-            let id = start.id.clone();
+            let id = waiting.start.id.clone();
             let work = self.clone();
-            let handle = tokio::spawn(async move { work.run(addr, start).await });
+            let handle = tokio::spawn(async move { work.run(addr, waiting).await });
             let running = Running {
                 abort: handle.abort_handle(),
                 since: now,
@@ -189,8 +196,11 @@
         }
     }
 
-    async fn run(self: Arc<Self>, addr: CompactString, start: order::Start) {
+    async fn run(self: Arc<Self>, addr: CompactString, waiting: Waiting) {
+        let Waiting { start, since } = waiting;
         let id = start.id.clone();
+        let hops = Hops::begin(&start, since);
+        let traceparent = hops.map(|hops| hops.traceparent());
         self.messages.add(count::Kind::Backend, 2);
         let begun = time::Instant::now();
         let outcome = backend::run(
@@ -201,10 +211,13 @@
                 customer: start.customer,
                 deadline_ms: start.deadline_ms,
                 input: start.input,
-                traceparent: start.traceparent,
+                traceparent: traceparent.or(start.traceparent),
             },
         )
         .await;
+        if let Some(hops) = hops {
+            hops.record(&self.cfg.id, id.index, &outcome);
+        }
         self.finish(&id, outcome, begun.elapsed());
     }
 
@@ -352,7 +365,7 @@
             return;
         }
         match self.ledger.start(now, epoch, &start.id) {
-            ledger::Verdict::Run => self.waiting.push_back(start),
+            ledger::Verdict::Run => self.waiting.push_back(Waiting { start, since: now }),
             ledger::Verdict::Duplicate => {}
             ledger::Verdict::Refuse(code) => self.tell(Notice::Refused(start.id, code)),
         }
@@ -360,7 +373,7 @@
 
     /// Gives back what waits here and can't be run here any more.
     fn give_back(&mut self, now: time::Instant) {
-        for start in std::mem::take(&mut self.waiting) {
+        for Waiting { start, .. } in std::mem::take(&mut self.waiting) {
             self.ledger.unstart(now, &start.id);
             self.tell(Notice::Refused(start.id, code::Code::NotJoined));
         }
--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::code;
 use crate::decide::action;
 use crate::decide::inherit;
@@ -75,7 +76,7 @@
             (events.deposed)();
             return;
         }
-        old.push_back((key, since_epoch()));
+        old.push_back((key, clock::since_epoch()));
     }
 }
 
@@ -156,7 +157,7 @@
     old: &mut VecDeque<Written>,
     group: &[action::Claim],
 ) -> Transaction {
-    let at_ms = since_epoch().as_millis() as u64;
+    let at_ms = clock::since_epoch().as_millis() as u64;
     let claimed = |claim: &action::Claim| inherit::Claimed {
         key: claim.key.clone(),
         digest: claim.digest,
@@ -168,7 +169,7 @@
         key: key.clone(),
         value: serde_json::to_string(&claims).ok(),
     }];
-    let expired = since_epoch().saturating_sub(ledger::RETENTION);
+    let expired = clock::since_epoch().saturating_sub(ledger::RETENTION);
     while old.front().is_some_and(|(_, at)| *at < expired) && writes.len() <= MAX_REMOVED {
         let (key, _) = old.pop_front().expect("the front was there");
         writes.push(Write { key, value: None });
@@ -181,9 +182,3 @@
         writes,
     }
 }
-
-/// The wall clock, counted from the Unix epoch.
-pub fn since_epoch() -> time::Duration {
-    let now = time::SystemTime::now();
-    now.duration_since(time::UNIX_EPOCH).unwrap_or_default()
-}
--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::decide::order;
+use crate::decide::timing;
 use crate::id;
 use crate::submission;
 
@@ -18,6 +19,8 @@
     Claim(Claim),
     /// Tell a waiter how its job ended.
     Reply(Waiter, Arc<submission::Ending>),
+    /// Record where the time went of something that is over and belongs to a trace.
+    Record(timing::Timing),
 }
 
 /// A claim: the submission with this key has been accepted by the owner.
--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -8,6 +8,7 @@
 
 use crate::code;
 use crate::decide::action;
+use crate::decide::timing;
 use crate::id;
 use crate::refusal;
 use crate::submission;
@@ -23,6 +24,8 @@
         agent: id::AgentId,
         /// When it was sent.
         at: time::Instant,
+        /// When it had begun to wait for a slot.
+        queued: time::Instant,
         /// Slot time that was booked for it.
         estimate: time::Duration,
     },
@@ -65,6 +68,8 @@
     pub claim: Claim,
     /// Agents that were sent any of its tasks.
     pub agents: BTreeSet<id::AgentId>,
+    /// Where its time went so far.
+    pub moments: timing::Moments,
     /// How it ended, once it has.
     pub ending: Option<Arc<submission::Ending>>,
 }
@@ -73,6 +78,7 @@
     /// Opens a job of which nothing was started.
     pub fn open(
         submission: Arc<submission::Submission>,
+        now: time::Instant,
         deadline: time::Instant,
         claim: Claim,
     ) -> Job {
@@ -85,6 +91,7 @@
             left: tasks,
             claim,
             agents: BTreeSet::new(),
+            moments: timing::Moments::open(now),
             ending: None,
         }
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,3 +14,4 @@
 pub mod owner;
 pub mod queue;
 pub mod spread;
+pub mod timing;
--- a/src/decide/owner/admission.rs
+++ b/src/decide/owner/admission.rs
@@ -33,7 +33,7 @@
         } else {
             job::Claim::Behind
         };
-        let mut job = job::Job::open(submission.clone(), now + target, claim);
+        let mut job = job::Job::open(submission.clone(), now, now + target, claim);
         job.waiters.push(waiter);
         self.actions.push(Action::Claim(action::Claim {
             key: submission.key.clone(),
@@ -45,7 +45,7 @@
             .insert((job.deadline, submission.key.clone()));
         self.jobs.insert(submission.key.clone(), job);
         if !ahead {
-            self.enqueue(&submission.key);
+            self.enqueue(now, &submission.key);
         }
     }
 
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -8,6 +8,7 @@
 use crate::decide::job::{self, Progress};
 use crate::decide::order;
 use crate::decide::owner::{self, Owner};
+use crate::decide::timing;
 use crate::id;
 use crate::refusal;
 use crate::submission;
@@ -68,6 +69,9 @@
 
     pub(super) fn end(&mut self, now: time::Instant, key: &id::JobKey, ending: submission::Ending) {
         let job = self.jobs.get_mut(key).expect("a job that ends is there");
+        if let Some(timing) = job_timing(job, now, &ending) {
+            self.actions.push(Action::Record(timing));
+        }
         let ending = Arc::new(ending);
         job.ending = Some(ending.clone());
         for waiter in std::mem::take(&mut job.waiters) {
@@ -121,3 +125,20 @@
         }
     }
 }
+
+/// Where the time of a job went; nothing without a trace.
+fn job_timing(
+    job: &job::Job,
+    now: time::Instant,
+    ending: &submission::Ending,
+) -> Option<timing::Timing> {
+    Some(timing::Timing::Job(timing::Job {
+        traceparent: job.submission.traceparent.clone()?,
+        key: job.submission.key.clone(),
+        tasks: job.tasks.len(),
+        submitted: job.moments.submitted,
+        startable: job.moments.startable,
+        ended: now,
+        failure: ending.failure(),
+    }))
+}
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -219,7 +219,7 @@
             let awaited = job.claim == job::Claim::Awaited;
             job.claim = job::Claim::Written;
             if awaited && job.ending.is_none() {
-                self.enqueue(key);
+                self.enqueue(now, key);
             }
         }
         self.dispatch(now);
--- a/src/decide/owner/resume.rs
+++ b/src/decide/owner/resume.rs
@@ -27,7 +27,7 @@
     ) {
         let class = self.config.document.class(&submission.job.class);
         let target = class.map_or(class::MAX_TARGET, class::Class::target);
-        let mut job = job::Job::open(submission.clone(), now + target, job::Claim::Written);
+        let mut job = job::Job::open(submission.clone(), now, now + target, job::Claim::Written);
         job.waiters.push(waiter);
         let key = submission.key.clone();
         let mut asked: HashMap<id::AgentId, Vec<task::Id>> = HashMap::new();
@@ -67,7 +67,7 @@
             self.actions
                 .push(Action::Order(agent, order::Order::Resolve(ids)));
         }
-        self.enqueue(&key);
+        self.enqueue(now, &key);
     }
 
     pub(super) fn drop_waiting_as_unknown(&mut self, key: &id::JobKey) {
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -9,6 +9,7 @@
 use crate::decide::order;
 use crate::decide::owner::Owner;
 use crate::decide::queue;
+use crate::decide::timing;
 use crate::id;
 use crate::task;
 
@@ -33,10 +34,12 @@
     }
 
     /// Puts a job's waiting tasks into the queue.
-    pub(super) fn enqueue(&mut self, key: &id::JobKey) {
-        let Some(job) = self.jobs.get(key) else {
+    pub(super) fn enqueue(&mut self, now: time::Instant, key: &id::JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
             return;
         };
+        job.moments.startable = Some(now);
+        let job = &self.jobs[key];
         let mut waiting = Vec::new();
         for (index, progress) in job.tasks.iter().enumerate() {
             if matches!(progress, Progress::Waiting) {
@@ -77,6 +80,7 @@
         job.tasks[id.index as usize] = Progress::Sent {
             agent: agent.clone(),
             at: now,
+            queued: job.moments.queued(id.index),
             estimate: waiting.estimate,
         };
         job.agents.insert(agent.clone());
@@ -160,6 +164,7 @@
             return;
         }
         job.tasks[index] = Progress::Waiting;
+        job.moments.requeued.insert(id.index, now);
         let job = &self.jobs[&id.job];
         let waiting = self.waiting(job, id.index);
         let customer = job.submission.job.customer.clone();
@@ -188,9 +193,35 @@
             let correction = ran.as_secs_f64() - estimate.as_secs_f64();
             self.queue.charge(now, customer, correction);
         }
+        if let Some(timing) = task_timing(job, now, agent, id, ran_us.is_some()) {
+            self.actions.push(Action::Record(timing));
+        }
         if ran_us.is_some() {
             self.estimates.observe(customer, &declared.kind, ran);
         }
         Some(index)
     }
 }
+
+/// Where the time of a task went that was sent here and has come back; nothing without a trace.
+fn task_timing(
+    job: &job::Job,
+    now: time::Instant,
+    agent: &id::AgentId,
+    id: &task::Id,
+    ran: bool,
+) -> Option<timing::Timing> {
+    let traceparent = job.submission.traceparent.clone()?;
+    let Progress::Sent { at, queued, .. } = &job.tasks[id.index as usize] else {
+        return None;
+    };
+    Some(timing::Timing::Task(timing::Task {
+        traceparent,
+        id: id.clone(),
+        agent: agent.clone(),
+        queued: *queued,
+        sent: *at,
+        returned: now,
+        ran,
+    }))
+}
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time;
 
-use crate::controller::claims;
+use crate::clock;
 use crate::decide::owner;
 use crate::key;
 use crate::standin::truth::Truth;
@@ -90,7 +90,7 @@
 /// Mints a submission key; one that tells its age, or a plain random one.
 pub fn mint(aged: bool) -> String {
     if aged {
-        key::mint(claims::since_epoch(), rand::random())
+        key::mint(clock::since_epoch(), rand::random())
     } else {
         format!("{:032x}", rand::random::<u128>())
     }
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::class;
+use crate::clock;
 use crate::controller::claims;
 use crate::controller::membership;
 use crate::count;
@@ -18,6 +19,7 @@
 use crate::decide::notice;
 use crate::decide::order::Order;
 use crate::decide::owner;
+use crate::entry::spans;
 use crate::id;
 use crate::submission;
 use crate::wire::agent;
@@ -69,6 +71,7 @@
 /// A running cell.
 pub struct Cell {
     scope: Scope,
+    spans: spans::Owner,
     owner: Mutex<owner::Owner>,
     links: Mutex<HashMap<id::AgentId, AgentLink>>,
     waiters: Mutex<HashMap<action::Waiter, Waiter>>,
@@ -91,11 +94,18 @@
 /// Spawns a cell whose epoch was just written to the table.
 pub fn spawn(scope: Scope) -> Arc<Cell> {
     let now = time::Instant::now();
-    let wall = claims::since_epoch();
+    let wall = clock::since_epoch();
     let owner = owner::Owner::open(scope.epoch, scope.policy, scope.config.clone(), now, wall);
     let (tx, rx) = mpsc::unbounded_channel();
+    let spans = spans::Owner {
+        entry: scope.entry.clone(),
+        cell: scope.cell,
+        epoch: scope.epoch,
+        since: now,
+    };
     let cell = Arc::new(Cell {
         scope,
+        spans,
         owner: Mutex::new(owner),
         links: Mutex::default(),
         waiters: Mutex::default(),
@@ -269,19 +279,25 @@
     /// Feeds an event to the owner and does what it asks, in order.
     fn with(&self, event: impl FnOnce(&mut owner::Owner, time::Instant)) {
         let mut owner = self.lock();
-        event(&mut owner, time::Instant::now());
+        let now = time::Instant::now();
+        event(&mut owner, now);
         for action in owner.actions() {
-            self.perform(action);
+            self.perform(now, action);
         }
     }
 
-    fn perform(&self, action: Action) {
+    fn perform(&self, now: time::Instant, action: Action) {
         match action {
+            Action::Order(agent, Order::Start(mut start)) => {
+                self.spans.start(now, &mut start);
+                self.order(&agent, Order::Start(start));
+            }
             Action::Order(agent, order) => self.order(&agent, order),
             Action::Claim(claim) => {
                 let _ = self.claims.send(claim);
             }
             Action::Reply(number, ending) => self.reply(number, ending),
+            Action::Record(timing) => self.spans.record(timing),
         }
     }
 
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -2,22 +2,25 @@
 
 use std::net;
 use std::sync::Arc;
+use std::time;
 
 use compact_str::CompactString;
 use gotham::hyper::{StatusCode, Uri};
 
+use crate::clock;
 use crate::code::Code;
-use crate::controller::claims;
 use crate::count;
 use crate::decide::inherit;
 use crate::entry::core::Core;
 use crate::entry::operate;
+use crate::entry::spans;
 use crate::entry::status;
 use crate::filter;
+use crate::id;
 use crate::key;
 use crate::refusal::Refusal;
 use crate::submission::{Ending, Submission};
-use crate::wire::backend;
+use crate::trace::{self, Hop};
 use crate::wire::caller;
 use crate::wire::server::{self, Incoming, Reply};
 
@@ -56,12 +59,23 @@
 async fn submit(core: &Arc<Core>, kind: filter::Kind, incoming: Incoming) -> Reply {
     core.messages.add(count::Kind::Submit, 1);
     core.messages.add(count::Kind::Reply, 1);
-    match take(core, kind, incoming).await {
+    let begun = time::Instant::now();
+    let hop = Hop::first(incoming.header(trace::TRACEPARENT));
+    let record = |key: Option<&id::JobKey>, failure: Option<Code>| {
+        if let Some(hop) = hop {
+            spans::submission(hop, begun, &core.cfg.id, key, failure);
+        }
+    };
+    match take(core, kind, hop, incoming).await {
         Ok(submission) => {
             let ending = core.run(submission.clone()).await;
+            record(Some(&submission.key), ending.failure());
             reply(&submission.key, &ending)
         }
-        Err(refusal) => Reply::refusal(&refusal),
+        Err(refusal) => {
+            record(None, Some(refusal.code));
+            Reply::refusal(&refusal)
+        }
     }
 }
 
@@ -69,14 +83,17 @@
 async fn take(
     core: &Core,
     kind: filter::Kind,
+    hop: Option<Hop>,
     incoming: Incoming,
 ) -> Result<Arc<Submission>, Refusal> {
     let key = incoming
         .header(caller::IDEMPOTENCY_KEY)
         .map(CompactString::from);
-    let traceparent = incoming
-        .header(backend::TRACEPARENT)
-        .map(CompactString::from);
+    let sent = incoming.header(trace::TRACEPARENT);
+    let traceparent = match hop {
+        Some(hop) => Some(hop.traceparent()),
+        None => sent.map(CompactString::from),
+    };
     let cx = filter::Context {
         config: core.config.get(),
         draining: core.is_draining(),
@@ -101,7 +118,7 @@
     let key = match draft.key {
         Some(key) => key,
         // Nobody can resubmit a request whose key is only known here.
-        None => key::mint(claims::since_epoch(), rand::random()).into(),
+        None => key::mint(clock::since_epoch(), rand::random()).into(),
     };
     Some(Submission {
         minted_ms: minted_ms(&key),
@@ -119,7 +136,7 @@
 /// and its second submission, so it counts as one that tells nothing.
 fn minted_ms(key: &str) -> Option<u64> {
     let minted = key::minted_at(key)?;
-    let latest = claims::since_epoch() + inherit::CLOCK_SKEW;
+    let latest = clock::since_epoch() + inherit::CLOCK_SKEW;
     (minted <= latest).then_some(minted.as_millis() as u64)
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod http;
 mod operate;
 mod peers;
+mod spans;
 mod status;
 
 use std::net;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod class;
 pub mod cli;
+pub mod clock;
 pub mod code;
 pub mod count;
 pub mod id;
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,10 +1,11 @@
 //! Logs as JSON lines on standard error, by `log` and `env_logger`.
 
 use std::io::Write;
-use std::time;
 
 use serde::Serialize;
 
+use crate::clock;
+
 /// One line.
 #[derive(Serialize)]
 struct Line<'a> {
@@ -21,12 +22,8 @@
     let env = env_logger::Env::default().default_filter_or("info");
     let started = env_logger::Builder::from_env(env)
         .format(move |f, record| {
-            let now = time::SystemTime::now();
             let line = Line {
-                time_ms: now
-                    .duration_since(time::UNIX_EPOCH)
-                    .unwrap_or_default()
-                    .as_millis(),
+                time_ms: clock::since_epoch().as_millis(),
                 level: record.level().as_str(),
                 process: &process,
                 target: record.target(),
--- a/src/submission.rs
+++ b/src/submission.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use crate::code;
 use crate::id;
 use crate::refusal;
 use crate::task;
@@ -64,3 +65,13 @@
     /// No answer; the refusal tells what is known.
     Failed(refusal::Refusal),
 }
+
+impl Ending {
+    /// The code with which it failed, if it did.
+    pub fn failure(&self) -> Option<code::Code> {
+        match self {
+            Ending::Complete(_) => None,
+            Ending::Failed(refusal) => Some(refusal.code),
+        }
+    }
+}
--- a/src/wire/backend.rs
+++ b/src/wire/backend.rs
@@ -12,6 +12,7 @@
 
 use crate::code;
 use crate::task;
+use crate::trace;
 use crate::wire::http;
 
 /// Largest answer of a task that is taken, in bytes.
@@ -25,8 +26,6 @@
 pub const CUSTOMER: &str = "lovagemill-customer";
 /// Header: milliseconds until the answer is worthless.
 pub const DEADLINE: &str = "lovagemill-deadline-ms";
-/// Header: W3C trace context.
-pub const TRACEPARENT: &str = "traceparent";
 
 /// What a backend server tells its agent of itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -75,7 +74,7 @@
         .header(CUSTOMER, run.customer.as_str())
         .header(DEADLINE, run.deadline_ms.to_string());
     if let Some(parent) = &run.traceparent {
-        call = call.header(TRACEPARENT, parent.as_str());
+        call = call.header(trace::TRACEPARENT, parent.as_str());
     }
     match client.call(call, limit).await {
         Ok(answer) => read(&answer),
