Finish the command line: coded errors, exit codes, all mistakes at once, a status table

Errors came as raw JSON or without a code, a daemon with three mistaken settings said so in three starts, and status was JSON only. Settings stay text until all are checked; every error carries its number; exit codes tell refused, mistaken and unknown apart; entry and agent share their common settings in one struct and print the addresses that they bound. Configuration files that are not UTF-8 and oversize documents sent as JSON are refused with their place.

--- a/src/bin/lovagemill-agent.rs
+++ b/src/bin/lovagemill-agent.rs
@@ -2,11 +2,12 @@
 
 use std::process;
 
-use clap::Parser;
 use lovagemill::cli;
 
 #[tokio::main]
 async fn main() -> process::ExitCode {
-    let opts = cli::agent::Opts::parse();
-    cli::finish(cli::agent::run(opts).await)
+    match cli::parse() {
+        Ok(opts) => cli::finish(cli::agent::run(opts).await),
+        Err(code) => code,
+    }
 }
--- a/src/bin/lovagemill.rs
+++ b/src/bin/lovagemill.rs
@@ -2,11 +2,12 @@
 
 use std::process;
 
-use clap::Parser;
 use lovagemill::cli;
 
 #[tokio::main]
 async fn main() -> process::ExitCode {
-    let opts = cli::command::Opts::parse();
-    cli::finish(cli::command::run(opts).await)
+    match cli::parse() {
+        Ok(opts) => cli::finish(cli::command::run(opts).await),
+        Err(code) => code,
+    }
 }
--- a/src/class.rs
+++ b/src/class.rs
@@ -72,7 +72,7 @@
 }
 
 /// One mistake in a document: where it is and how to mend it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Mistake {
     /// The place, such as `class[1].target_ms`, or a line of the file.
     pub place: CompactString,
@@ -94,12 +94,12 @@
     ///
     /// # Errors
     ///
-    /// Returns every mistake that was found, not only the first.
-    pub fn parse(text: &str) -> Result<Document, Vec<Mistake>> {
-        if text.len() > MAX_DOCUMENT_BYTES {
-            let mend = format!("the document is over {MAX_DOCUMENT_BYTES} bytes; shorten it");
-            return Err(vec![Mistake::new("file", mend)]);
+    /// Returns every mistake that was found; a file that can't be read as TOML shows its first.
+    pub fn parse(file: &[u8]) -> Result<Document, Vec<Mistake>> {
+        if file.len() > MAX_DOCUMENT_BYTES {
+            return Err(vec![oversize()]);
         }
+        let text = std::str::from_utf8(file).map_err(|e| vec![not_text(file, &e)])?;
         let document: Document = toml::from_str(text).map_err(|e| vec![broken(text, &e)])?;
         let mistakes = document.mistakes();
         if mistakes.is_empty() {
@@ -122,6 +122,10 @@
     /// Lists everything that keeps the document from being accepted.
     pub fn mistakes(&self) -> Vec<Mistake> {
         let mut found = Vec::new();
+        // Operators may also send the document as JSON, past the limit on files.
+        if serde_json::to_vec(self).is_ok_and(|json| json.len() > MAX_DOCUMENT_BYTES) {
+            found.push(oversize());
+        }
         if self.classes.is_empty() {
             found.push(Mistake::new(
                 "class",
@@ -144,6 +148,20 @@
     290
 }
 
+fn oversize() -> Mistake {
+    let mend = format!("the document is over {MAX_DOCUMENT_BYTES} bytes; shorten it");
+    Mistake::new("file", mend)
+}
+
+fn not_text(file: &[u8], error: &std::str::Utf8Error) -> Mistake {
+    let before = &file[..error.valid_up_to()];
+    let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
+    Mistake::new(
+        format!("line {line}"),
+        "this isn't UTF-8; save the file as UTF-8",
+    )
+}
+
 fn broken(text: &str, error: &toml::de::Error) -> Mistake {
     let line = match error.span() {
         Some(span) => text[..span.start.min(text.len())].matches('\n').count() + 1,
--- a/src/cli/agent.rs
+++ b/src/cli/agent.rs
@@ -1,64 +1,82 @@
 //! The settings of `lovagemill-agent`.
 
-use std::net;
 use std::time;
 
 use clap::Parser;
-use compact_str::CompactString;
 
 use crate::agent;
-use crate::class;
-use crate::cli::entry::is_address;
-use crate::cli::{self, ExitCode, Mistakes};
+use crate::cli::settings::{Daemon, DaemonOpts, Mistakes};
+use crate::cli::{self, ExitCode};
+use crate::code::Code;
 use crate::count;
 use crate::logging;
-use crate::wire::platform;
 
 /// Runs beside a backend server: takes its announcement, owns its slots, starts its tasks.
 ///
-/// Every flag can be set in the environment instead, under the name that its help shows.
+/// Every flag can be set in the environment instead, under the name that its help shows. A TERM
+/// signal stops it gracefully: what runs ends, and its answers are delivered. docs/SETTINGS.md
+/// explains the settings.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "lovagemill-agent", version)]
 pub struct Opts {
     /// Names this agent among all others; the same again after a restart
-    #[arg(long, env = "LOVAGEMILL_AGENT_ID")]
+    #[arg(
+        long,
+        env = "LOVAGEMILL_AGENT_ID",
+        default_value = "",
+        hide_default_value = true,
+        value_name = "NAME"
+    )]
     pub id: String,
 
     /// Where the owner of the agent's cell connects
-    #[arg(long, env = "LOVAGEMILL_LINK", default_value = "127.0.0.1:7201")]
-    pub link: net::SocketAddr,
+    #[arg(
+        long,
+        env = "LOVAGEMILL_LINK",
+        default_value = "127.0.0.1:7201",
+        value_name = "IP:PORT"
+    )]
+    pub link: String,
 
     /// Where the backend server beside the agent announces itself
-    #[arg(long, env = "LOVAGEMILL_ANNOUNCE", default_value = "127.0.0.1:7301")]
-    pub announce: net::SocketAddr,
-
-    /// The address that owners are told, where it differs from --link
-    #[arg(long, env = "LOVAGEMILL_ADVERTISE", value_name = "HOST:PORT")]
-    pub advertise: Option<String>,
+    #[arg(
+        long,
+        env = "LOVAGEMILL_ANNOUNCE",
+        default_value = "127.0.0.1:7301",
+        value_name = "IP:PORT"
+    )]
+    pub announce: String,
 
     /// The failure domain that the worker stands in
-    #[arg(long, env = "LOVAGEMILL_FAILURE_DOMAIN", default_value = "default")]
+    #[arg(
+        long,
+        env = "LOVAGEMILL_FAILURE_DOMAIN",
+        default_value = "default",
+        value_name = "NAME"
+    )]
     pub failure_domain: String,
 
     /// The rack that the worker stands in
-    #[arg(long, env = "LOVAGEMILL_RACK", default_value = "default")]
+    #[arg(
+        long,
+        env = "LOVAGEMILL_RACK",
+        default_value = "default",
+        value_name = "NAME"
+    )]
     pub rack: String,
 
-    /// The platform's table and object store
-    #[arg(long, env = "LOVAGEMILL_PLATFORM", value_name = "HOST:PORT")]
-    pub platform: String,
-
-    /// Longest that one operation on the platform may take, in milliseconds
-    #[arg(long, env = "LOVAGEMILL_PLATFORM_TIMEOUT_MS", default_value_t = 500)]
-    pub platform_timeout_ms: u64,
-
-    /// Cells of the whole system; the same for every entry and agent
-    #[arg(long, env = "LOVAGEMILL_CELLS", default_value_t = 1)]
-    pub cells: u16,
-
     /// Longest that a stopping agent keeps answers for their owner, in seconds
-    #[arg(long, env = "LOVAGEMILL_LINGER_SECONDS", default_value_t = 15)]
-    pub linger_seconds: u64,
+    #[arg(
+        long,
+        env = "LOVAGEMILL_LINGER_SECONDS",
+        default_value = "15",
+        value_name = "SECONDS"
+    )]
+    pub linger_seconds: String,
+
+    /// Settings of every daemon
+    #[command(flatten)]
+    pub daemon: DaemonOpts,
 }
 
 impl Opts {
@@ -67,47 +85,31 @@
     /// # Errors
     ///
     /// Returns every mistake at once.
-    pub fn resolve(&self) -> anyhow::Result<agent::Config> {
+    pub fn resolve(&self) -> anyhow::Result<(agent::Config, Daemon)> {
         let mut mistakes = Mistakes::default();
-        let name = "use 1 to 64 letters, digits, '-', '_' or '.'";
-        mistakes.expect(class::is_name(&self.id), "--id", name);
-        mistakes.expect(
-            class::is_name(&self.failure_domain),
-            "--failure-domain",
-            name,
-        );
-        mistakes.expect(class::is_name(&self.rack), "--rack", name);
-        let apart = self.link != self.announce || self.link.port() == 0;
+        let id = mistakes.name("--id", &self.id);
+        let link = mistakes.listen("--link", &self.link);
+        let announce = mistakes.listen("--announce", &self.announce);
+        let apart = link != announce || link.port() == 0;
         mistakes.expect(apart, "--announce", "use another address than --link");
-        mistakes.expect(is_address(&self.platform), "--platform", "use HOST:PORT");
-        let advertise = self.advertise.as_deref().is_none_or(is_address);
-        mistakes.expect(advertise, "--advertise", "use HOST:PORT");
-        mistakes.expect(
-            (1..=60_000).contains(&self.platform_timeout_ms),
-            "--platform-timeout-ms",
-            "use 1 to 60000",
-        );
-        mistakes.expect(
-            (1..=1_024).contains(&self.cells),
-            "--cells",
-            "use 1 to 1024",
-        );
-        mistakes.expect(
-            self.linger_seconds <= 3_600,
-            "--linger-seconds",
-            "use 0 to 3600",
-        );
+        let failure_domain = mistakes.name("--failure-domain", &self.failure_domain);
+        let rack = mistakes.name("--rack", &self.rack);
+        let linger = mistakes.number("--linger-seconds", &self.linger_seconds, 0..=3_600);
+        let daemon = self
+            .daemon
+            .resolve(&mut mistakes, "lovagemill-agent", &self.id);
         mistakes.finish()?;
-        Ok(agent::Config {
-            id: CompactString::from(&self.id),
-            link_addr: self.link,
-            announce_addr: self.announce,
-            advertise: self.advertise.as_deref().map(CompactString::from),
-            failure_domain: CompactString::from(&self.failure_domain),
-            rack: CompactString::from(&self.rack),
-            cells: self.cells,
-            linger: time::Duration::from_secs(self.linger_seconds),
-        })
+        let cfg = agent::Config {
+            id,
+            link_addr: link,
+            announce_addr: announce,
+            advertise: daemon.advertise.clone(),
+            failure_domain,
+            rack,
+            cells: daemon.cells,
+            linger: time::Duration::from_secs(linger),
+        };
+        Ok((cfg, daemon))
     }
 }
 
@@ -117,18 +119,23 @@
 ///
 /// Returns mistaken settings and addresses that can't be bound.
 pub async fn run(opts: Opts) -> anyhow::Result<ExitCode> {
-    let cfg = opts.resolve()?;
+    let (cfg, daemon) = opts.resolve()?;
     logging::init(&cfg.id);
+    let traces = daemon.open_traces()?;
     let messages = count::Messages::default();
-    let limit = time::Duration::from_millis(opts.platform_timeout_ms);
-    let platform = platform::connect(&opts.platform, limit, messages.clone());
-    let agent = agent::open(cfg, platform, messages).await?;
+    let agent = agent::open(cfg, daemon.connect(&messages), messages).await;
+    let agent = agent.map_err(cli::coded(Code::CannotListen))?;
     log::info!(
-        "agent listens for its backend server at {}",
+        "agent listens: link={} announce={}",
+        agent.link_addr(),
         agent.announce_addr()
     );
     cli::stop_signal().await;
     log::info!("agent drains");
     agent.stop().await;
+    if let Some(traces) = traces {
+        traces.stop().await;
+    }
+    log::info!("agent stopped");
     Ok(ExitCode::Success)
 }
--- /dev/null
+++ b/src/cli/command/work.rs
@@ -0,0 +1,206 @@
+//! `lovagemill demo` and `lovagemill load`: a workload, and what came of it.
+
+use std::time;
+
+use clap::{Args, ValueEnum};
+
+use crate::cli::settings::{self, Mistakes};
+use crate::cli::ExitCode;
+use crate::decide::{fleet, owner, queue};
+use crate::demo::{self, caller, deployment, report};
+
+/// Largest load that is offered, as a share of the capacity.
+const MAX_LOAD: f64 = 20.0;
+
+/// Longest run, in seconds.
+const MAX_SECONDS: u64 = 3_600;
+
+/// The largest customer's part of `--load`.
+const DOMINANT_PART: f64 = 0.6;
+
+/// Whose sizes, latencies and workload.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum DeploymentName {
+    /// Trip authorization of schools
+    Trilha,
+    /// Contract desk of flour mills
+    Kwinana,
+}
+
+/// Which policy; all but `fair` are baselines to compare with.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+pub enum PolicyName {
+    /// Fair shares of used slot time, to the agent with the most free slots
+    Fair,
+    /// One queue, first in first out
+    Fifo,
+    /// Customers in turns, to a random agent
+    RoundRobin,
+    /// Fair shares, to the less loaded of two random agents
+    LeastOfTwo,
+}
+
+/// The work that is offered.
+#[derive(Args, Clone, Debug)]
+pub struct WorkOpts {
+    /// Whose sizes, latencies and workload
+    #[arg(long, value_enum, default_value = "trilha")]
+    pub deployment: DeploymentName,
+
+    /// How long work is offered
+    #[arg(long, default_value_t = 10)]
+    pub seconds: u64,
+
+    /// Seeds the workload
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+
+    /// Offered work as a share of the capacity; the largest customer sends 60% of it
+    #[arg(long, default_value_t = 0.5)]
+    pub load: f64,
+
+    /// Work of the largest customer as a share of the capacity, instead of its part of --load
+    #[arg(long)]
+    pub dominant_load: Option<f64>,
+
+    /// Work of all other customers as a share of the capacity, instead of their part of --load
+    #[arg(long)]
+    pub small_load: Option<f64>,
+
+    /// Use keys that don't tell their age, so that claims are written ahead of the starts
+    #[arg(long)]
+    pub plain_keys: bool,
+
+    /// Print one JSON object instead of a table
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// `demo`.
+#[derive(Args, Clone, Debug)]
+pub struct DemoOpts {
+    /// The work
+    #[command(flatten)]
+    pub work: WorkOpts,
+
+    /// Which policy dispatches
+    #[arg(long, value_enum, default_value = "fair")]
+    pub policy: PolicyName,
+
+    /// Write every claim ahead of its starts, whatever the key tells
+    #[arg(long)]
+    pub claims_ahead: bool,
+}
+
+/// `load`.
+#[derive(Args, Clone, Debug)]
+pub struct LoadOpts {
+    /// The work
+    #[command(flatten)]
+    pub work: WorkOpts,
+
+    /// HTTP addresses of the entries, separated by commas
+    #[arg(
+        long,
+        value_delimiter = ',',
+        default_value = "127.0.0.1:7001",
+        value_name = "HOST:PORT"
+    )]
+    pub entries: Vec<String>,
+
+    /// Slots of all backend servers, from which the offered work is worked out
+    #[arg(long, default_value_t = 88)]
+    pub slots: u32,
+}
+
+impl WorkOpts {
+    fn resolve(&self, mistakes: &mut Mistakes, policy: owner::Policy) -> demo::Config {
+        let dominant = self.dominant_load.unwrap_or(DOMINANT_PART * self.load);
+        let small = self.small_load.unwrap_or((1.0 - DOMINANT_PART) * self.load);
+        let sane = |load: f64| (0.0..=MAX_LOAD).contains(&load);
+        let loads = sane(dominant) && sane(small) && dominant + small > 0.0;
+        let flags = "--load, --dominant-load, --small-load";
+        mistakes.expect(loads, flags, "use 0 to 20, not all 0");
+        let seconds = (1..=MAX_SECONDS).contains(&self.seconds);
+        mistakes.expect(seconds, "--seconds", "use 1 to 3600");
+        demo::Config {
+            deployment: match self.deployment {
+                DeploymentName::Trilha => deployment::trilha(),
+                DeploymentName::Kwinana => deployment::kwinana(),
+            },
+            duration: time::Duration::from_secs(self.seconds),
+            seed: self.seed,
+            dominant_load: dominant,
+            small_load: small,
+            policy,
+            aged_keys: !self.plain_keys,
+            progress: !self.json,
+        }
+    }
+}
+
+impl DemoOpts {
+    fn policy(&self) -> owner::Policy {
+        let (queue, placement) = match self.policy {
+            PolicyName::Fair => (queue::Policy::Fair, fleet::Placement::MostFree),
+            PolicyName::Fifo => (queue::Policy::Fifo, fleet::Placement::MostFree),
+            PolicyName::RoundRobin => (queue::Policy::RoundRobin, fleet::Placement::Random),
+            PolicyName::LeastOfTwo => (queue::Policy::Fair, fleet::Placement::LeastOfTwo),
+        };
+        owner::Policy {
+            queue,
+            placement,
+            claims_ahead: self.claims_ahead,
+        }
+    }
+}
+
+/// Runs a demo.
+///
+/// # Errors
+///
+/// Returns mistaken settings, and parts that don't get ready.
+pub async fn demo(opts: &DemoOpts) -> anyhow::Result<ExitCode> {
+    let mut mistakes = Mistakes::default();
+    let cfg = opts.work.resolve(&mut mistakes, opts.policy());
+    mistakes.finish()?;
+    let report = demo::run(cfg).await?;
+    print(&report, opts.work.json)
+}
+
+/// Offers a workload to running entries.
+///
+/// # Errors
+///
+/// Returns mistaken settings.
+pub async fn load(opts: &LoadOpts) -> anyhow::Result<ExitCode> {
+    let mut mistakes = Mistakes::default();
+    let mut cfg = opts.work.resolve(&mut mistakes, owner::Policy::default());
+    mistakes.expect(opts.slots > 0, "--slots", "use 1 or more");
+    let addrs = !opts.entries.is_empty() && opts.entries.iter().all(|a| settings::is_address(a));
+    mistakes.expect(addrs, "--entries", "use HOST:PORT,HOST:PORT");
+    mistakes.finish()?;
+    cfg.deployment.workers = 1;
+    cfg.deployment.slots_per_worker = opts.slots;
+    cfg.deployment.client_one_way = time::Duration::ZERO;
+    let target = caller::Target {
+        entries: opts.entries.clone(),
+        one_way: time::Duration::ZERO,
+        slots: opts.slots,
+        truth: None,
+    };
+    let report = demo::offer(&cfg, target).await;
+    print(&report, opts.work.json)
+}
+
+fn print(report: &report::Report, json: bool) -> anyhow::Result<ExitCode> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(report)?);
+    } else {
+        println!("{}", report.table());
+    }
+    if report.violations() > 0 {
+        return Ok(ExitCode::Violation);
+    }
+    Ok(ExitCode::Success)
+}
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -1,56 +1,64 @@
 //! The settings of `lovagemill-entry`.
 
-use std::net;
 use std::time;
 
 use clap::Parser;
-use compact_str::CompactString;
 
-use crate::class;
-use crate::cli::{self, ExitCode, Mistakes};
+use crate::cli::settings::{Daemon, DaemonOpts, Mistakes};
+use crate::cli::{self, ExitCode};
+use crate::code::Code;
 use crate::count;
 use crate::decide::owner;
 use crate::entry;
 use crate::logging;
-use crate::wire::platform;
 
 /// Takes callers and operators over HTTP, owns cells and dispatches.
 ///
-/// Every flag can be set in the environment instead, under the name that its help shows.
+/// Every flag can be set in the environment instead, under the name that its help shows. A TERM
+/// signal, or `lovagemill drain`, stops it gracefully. docs/SETTINGS.md explains the settings.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "lovagemill-entry", version)]
 pub struct Opts {
     /// Names this entry among all others
-    #[arg(long, env = "LOVAGEMILL_ENTRY_ID")]
+    #[arg(
+        long,
+        env = "LOVAGEMILL_ENTRY_ID",
+        default_value = "",
+        hide_default_value = true,
+        value_name = "NAME"
+    )]
     pub id: String,
 
     /// Where callers and operators connect
-    #[arg(long, env = "LOVAGEMILL_HTTP", default_value = "127.0.0.1:7001")]
-    pub http: net::SocketAddr,
+    #[arg(
+        long,
+        env = "LOVAGEMILL_HTTP",
+        default_value = "127.0.0.1:7001",
+        value_name = "IP:PORT"
+    )]
+    pub http: String,
 
     /// Where other entries connect
-    #[arg(long, env = "LOVAGEMILL_PEER", default_value = "127.0.0.1:7101")]
-    pub peer: net::SocketAddr,
-
-    /// The address that other entries are told, where it differs from --peer
-    #[arg(long, env = "LOVAGEMILL_ADVERTISE", value_name = "HOST:PORT")]
-    pub advertise: Option<String>,
-
-    /// The platform's table and object store
-    #[arg(long, env = "LOVAGEMILL_PLATFORM", value_name = "HOST:PORT")]
-    pub platform: String,
-
-    /// Longest that one operation on the platform may take, in milliseconds
-    #[arg(long, env = "LOVAGEMILL_PLATFORM_TIMEOUT_MS", default_value_t = 500)]
-    pub platform_timeout_ms: u64,
-
-    /// Cells of the whole system; the same for every entry and agent
-    #[arg(long, env = "LOVAGEMILL_CELLS", default_value_t = 1)]
-    pub cells: u16,
+    #[arg(
+        long,
+        env = "LOVAGEMILL_PEER",
+        default_value = "127.0.0.1:7101",
+        value_name = "IP:PORT"
+    )]
+    pub peer: String,
 
     /// Longest that a stopping entry waits for what is in flight, in seconds
-    #[arg(long, env = "LOVAGEMILL_DRAIN_SECONDS", default_value_t = 30)]
-    pub drain_seconds: u64,
+    #[arg(
+        long,
+        env = "LOVAGEMILL_DRAIN_SECONDS",
+        default_value = "30",
+        value_name = "SECONDS"
+    )]
+    pub drain_seconds: String,
+
+    /// Settings of every daemon
+    #[command(flatten)]
+    pub daemon: DaemonOpts,
 }
 
 impl Opts {
@@ -59,75 +67,57 @@
     /// # Errors
     ///
     /// Returns every mistake at once.
-    pub fn resolve(&self) -> anyhow::Result<entry::Config> {
+    pub fn resolve(&self) -> anyhow::Result<(entry::Config, Daemon)> {
         let mut mistakes = Mistakes::default();
-        mistakes.expect(
-            class::is_name(&self.id),
-            "--id",
-            "use 1 to 64 letters, digits, '-', '_' or '.'",
-        );
-        mistakes.expect(
-            self.http != self.peer || self.http.port() == 0,
-            "--peer",
-            "use another address than --http",
-        );
-        mistakes.expect(is_address(&self.platform), "--platform", "use HOST:PORT");
-        let advertise = self.advertise.as_deref().is_none_or(is_address);
-        mistakes.expect(advertise, "--advertise", "use HOST:PORT");
-        mistakes.expect(
-            (1..=60_000).contains(&self.platform_timeout_ms),
-            "--platform-timeout-ms",
-            "use 1 to 60000",
-        );
-        mistakes.expect(
-            (1..=1_024).contains(&self.cells),
-            "--cells",
-            "use 1 to 1024",
-        );
-        mistakes.expect(
-            self.drain_seconds <= 3_600,
-            "--drain-seconds",
-            "use 0 to 3600",
-        );
+        let id = mistakes.name("--id", &self.id);
+        let http = mistakes.listen("--http", &self.http);
+        let peer = mistakes.listen("--peer", &self.peer);
+        let apart = http != peer || http.port() == 0;
+        mistakes.expect(apart, "--peer", "use another address than --http");
+        let drain = mistakes.number("--drain-seconds", &self.drain_seconds, 0..=3_600);
+        let daemon = self
+            .daemon
+            .resolve(&mut mistakes, "lovagemill-entry", &self.id);
         mistakes.finish()?;
-        Ok(entry::Config {
-            id: CompactString::from(&self.id),
-            http_addr: self.http,
-            peer_addr: self.peer,
-            advertise: self.advertise.as_deref().map(CompactString::from),
-            cells: self.cells,
+        let cfg = entry::Config {
+            id,
+            http_addr: http,
+            peer_addr: peer,
+            advertise: daemon.advertise.clone(),
+            cells: daemon.cells,
             policy: owner::Policy::default(),
-            drain: time::Duration::from_secs(self.drain_seconds),
-        })
+            drain: time::Duration::from_secs(drain),
+        };
+        Ok((cfg, daemon))
     }
 }
 
-/// Tells whether a text is a host and a port.
-pub fn is_address(text: &str) -> bool {
-    let Some((host, port)) = text.rsplit_once(':') else {
-        return false;
-    };
-    !host.is_empty() && port.parse::<u16>().is_ok_and(|port| port > 0)
-}
-
 /// Runs the entry until it is asked to stop.
 ///
 /// # Errors
 ///
 /// Returns mistaken settings and addresses that can't be bound.
 pub async fn run(opts: Opts) -> anyhow::Result<ExitCode> {
-    let cfg = opts.resolve()?;
+    let (cfg, daemon) = opts.resolve()?;
     logging::init(&cfg.id);
+    let traces = daemon.open_traces()?;
     let messages = count::Messages::default();
-    let limit = time::Duration::from_millis(opts.platform_timeout_ms);
-    let platform = platform::connect(&opts.platform, limit, messages.clone());
-    let entry = entry::open(cfg, platform, messages).await?;
-    log::info!("entry listens for callers at {}", entry.http_addr());
+    let entry = entry::open(cfg, daemon.connect(&messages), messages).await;
+    let entry = entry.map_err(cli::coded(Code::CannotListen))?;
+    log::info!(
+        "entry listens: http={} peer={}",
+        entry.http_addr(),
+        entry.peer_addr()
+    );
     tokio::select! {
         () = cli::stop_signal() => {}
         () = entry.stop_asked() => {}
     }
     log::info!("entry drains");
     entry.stop().await;
+    if let Some(traces) = traces {
+        traces.stop().await;
+    }
+    log::info!("entry stopped");
     Ok(ExitCode::Success)
 }
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use crate::cli::{self, ExitCode};
+use crate::code::Code;
 use crate::logging;
 use crate::standin::backend;
 use crate::standin::platform;
@@ -68,8 +69,10 @@
     logging::init("standin");
     match opts.part {
         Part::Platform { addr } => {
-            let platform = platform::bind(addr).await?;
-            log::info!("stand-in platform listens at {}", platform.addr());
+            let platform = platform::bind(addr)
+                .await
+                .map_err(cli::coded(Code::CannotListen))?;
+            log::info!("stand-in platform listens: http={}", platform.addr());
             cli::stop_signal().await;
         }
         Part::Backend {
@@ -94,8 +97,10 @@
                     accelerators,
                 },
             };
-            let backend = backend::bind(cfg, Truth::default()).await?;
-            log::info!("stand-in backend server listens at {}", backend.addr());
+            let backend = backend::bind(cfg, Truth::default())
+                .await
+                .map_err(cli::coded(Code::CannotListen))?;
+            log::info!("stand-in backend server listens: http={}", backend.addr());
             cli::stop_signal().await;
             backend.leave().await;
             backend.idle().await;
--- a/src/code.rs
+++ b/src/code.rs
@@ -88,7 +88,10 @@
     VersionConflict = 5002, 409, NotRun, "another change was accepted first; read the newest version and apply yours to it";
     ChangeUnknown = 5003, 504, Unknown, "the table's answer was lost; read the configuration to see whether the change took effect";
     SettingsInvalid = 6001, 400, NotRun, "the settings are refused; mend every flag or variable that is named";
-    Unreachable = 6002, 502, Unknown, "the address didn't answer; check it and the process behind it";
+    Unreachable = 6002, 502, Unknown, "the address gave no whole answer; check the process behind it, and submit again under the same key";
+    FileUnreadable = 6003, 400, NotRun, "the file can't be read; check its path and its permissions";
+    CannotListen = 6004, 500, NotRun, "an address can't be listened at; check that it is this machine's and free";
+    NotReached = 6005, 502, NotRun, "no connection could be made; check the address and the process behind it";
 }
 
 impl fmt::Display for Code {
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -30,7 +30,7 @@
 }
 
 /// Whether an agent can be used.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Its link is up.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,10 +3,10 @@
 mod cell;
 mod core;
 mod http;
-mod operate;
+pub mod operate;
 mod peers;
 mod spans;
-mod status;
+pub mod status;
 
 use std::net;
 use std::sync::Arc;
@@ -84,6 +84,11 @@
         self.http.addr()
     }
 
+    /// Where other entries connect.
+    pub fn peer_addr(&self) -> net::SocketAddr {
+        self.peers.addr()
+    }
+
     /// Its id.
     pub fn id(&self) -> &id::EntryId {
         &self.core.cfg.id
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use serde::Serialize;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::decide::fleet;
 use crate::decide::owner;
@@ -11,36 +12,69 @@
 use crate::metrics;
 
 /// The status of an entry.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Status {
-    entry: id::EntryId,
-    config_version: id::Version,
-    draining: bool,
-    in_flight: usize,
-    cells: Vec<CellStatus>,
-    messages: BTreeMap<&'static str, u64>,
+    /// The entry.
+    pub entry: id::EntryId,
+    /// The configuration in force here; 0 before any was read.
+    pub config_version: id::Version,
+    /// Whether it stops.
+    pub draining: bool,
+    /// Submissions whose callers wait here.
+    pub in_flight: usize,
+    /// The cells, in order.
+    pub cells: Vec<CellStatus>,
+    /// Messages that this entry has sent, by kind.
+    pub messages: BTreeMap<CompactString, u64>,
 }
 
 /// One cell as this entry sees it.
-#[derive(Debug, Serialize)]
-struct CellStatus {
-    cell: id::Cell,
-    owner: String,
-    epoch: id::Epoch,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    owned: Option<OwnedStatus>,
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CellStatus {
+    /// The cell.
+    pub cell: id::Cell,
+    /// Its owner; empty where this entry knows of none.
+    pub owner: id::EntryId,
+    /// The owner's epoch.
+    pub epoch: id::Epoch,
+    /// What this entry knows as the owner.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owned: Option<OwnedStatus>,
 }
 
 /// What only the owner of a cell knows.
-#[derive(Debug, Serialize)]
-struct OwnedStatus {
-    ready: bool,
-    open_jobs: usize,
-    waiting_tasks: usize,
-    slots: u32,
-    free_slots: u32,
-    agents: BTreeMap<id::AgentId, fleet::Agent>,
-    customers: BTreeMap<id::Customer, usize>,
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct OwnedStatus {
+    /// Whether the takeover is over.
+    pub ready: bool,
+    /// Jobs that have not ended.
+    pub open_jobs: usize,
+    /// Tasks that wait for a slot.
+    pub waiting_tasks: usize,
+    /// Slots of usable agents.
+    pub slots: u32,
+    /// Those that are free.
+    pub free_slots: u32,
+    /// The agents, each beside its backend server.
+    pub agents: BTreeMap<id::AgentId, AgentStatus>,
+    /// Waiting tasks by customer.
+    pub customers: BTreeMap<id::Customer, usize>,
+}
+
+/// One agent and the backend server beside it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AgentStatus {
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+    /// Its rack.
+    pub rack: CompactString,
+    /// `up`, `silent` while its link is gone, `draining` once it or its backend server stops, `away`
+    /// while no backend server has announced itself.
+    pub state: CompactString,
+    /// Slots of its backend server.
+    pub slots: u32,
+    /// Tasks that were sent to it and have no answer.
+    pub sent: u32,
 }
 
 /// `GET /v1/status`.
@@ -54,16 +88,16 @@
         cells: places
             .map(|(cell, place)| cell_status(core, cell as id::Cell, &place))
             .collect(),
-        messages: core.messages.by_kind(),
+        messages: by_kind(core),
     }
 }
 
 fn cell_status(core: &Core, cell: id::Cell, place: &Place) -> CellStatus {
     let (owner, epoch, owned) = match place {
-        Place::Nowhere => (String::new(), 0, None),
-        Place::There(owner) => (owner.entry.to_string(), owner.epoch, None),
+        Place::Nowhere => (id::EntryId::default(), 0, None),
+        Place::There(owner) => (owner.entry.clone(), owner.epoch, None),
         Place::Here(cell) => (
-            core.cfg.id.to_string(),
+            core.cfg.id.clone(),
             cell.epoch(),
             Some(cell.read(owned_status)),
         ),
@@ -76,7 +110,29 @@
     }
 }
 
+fn by_kind(core: &Core) -> BTreeMap<CompactString, u64> {
+    let kinds = core.messages.by_kind().into_iter();
+    kinds.map(|(kind, n)| (kind.into(), n)).collect()
+}
+
+fn agent_status(agent: &fleet::Agent) -> AgentStatus {
+    let state = match agent.state {
+        fleet::State::Silent => "silent",
+        fleet::State::Up if agent.load.draining => "draining",
+        fleet::State::Up if agent.load.slots == 0 => "away",
+        fleet::State::Up => "up",
+    };
+    AgentStatus {
+        failure_domain: agent.failure_domain.clone(),
+        rack: agent.rack.clone(),
+        state: state.into(),
+        slots: agent.load.slots,
+        sent: agent.sent,
+    }
+}
+
 fn owned_status(owner: &owner::Owner) -> OwnedStatus {
+    let agent = |(id, agent): (&id::AgentId, &fleet::Agent)| (id.clone(), agent_status(agent));
     let waiting = |(customer, tasks): (&id::Customer, usize)| (customer.clone(), tasks);
     OwnedStatus {
         ready: owner.is_ready(),
@@ -84,7 +140,7 @@
         waiting_tasks: owner.queue().len(),
         slots: owner.fleet().slots(),
         free_slots: owner.fleet().free_slots(),
-        agents: owner.fleet().agents().clone(),
+        agents: owner.fleet().agents().iter().map(agent).collect(),
         customers: owner.queue().customers().map(waiting).collect(),
     }
 }
--- a/src/filter/key.rs
+++ b/src/filter/key.rs
@@ -15,7 +15,8 @@
     }
 }
 
-fn is_key(text: &str) -> bool {
+/// Tells whether a text may be a submission key.
+pub fn is_key(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_graphic() && c != '/';
     (1..=key::MAX_KEY_BYTES).contains(&text.len()) && text.chars().all(allowed)
 }
