--- /dev/null
+++ b/tests/processes/mod.rs
@@ -0,0 +1,154 @@
+//! Starts our own binaries on free ports and ends them, and only them.
+
+use std::io::{BufRead, BufReader, Read};
+use std::process::{Child, ChildStderr, Command, Output, Stdio};
+use std::sync::mpsc;
+use std::{thread, time};
+
+/// Ends a hang; no verdict depends on it.
+pub const HANG: time::Duration = time::Duration::from_secs(60);
+
+/// The binaries.
+pub const CLI: &str = env!("CARGO_BIN_EXE_lovagemill");
+pub const ENTRY: &str = env!("CARGO_BIN_EXE_lovagemill-entry");
+pub const AGENT: &str = env!("CARGO_BIN_EXE_lovagemill-agent");
+pub const STANDIN: &str = env!("CARGO_BIN_EXE_lovagemill-standin");
+
+/// A child that is killed when the test ends, however it ends.
+pub struct Process {
+    child: Child,
+    /// The log line that tells the bound addresses.
+    listens: String,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A command without any setting from the environment of the test.
+pub fn command(binary: &str, args: &[&str]) -> Command {
+    let mut command = Command::new(binary);
+    let set = std::env::vars_os().map(|(name, _)| name);
+    for name in set.filter(|name| name.to_string_lossy().starts_with("LOVAGEMILL_")) {
+        command.env_remove(name);
+    }
+    command.env_remove("RUST_LOG").args(args);
+    command
+}
+
+/// Starts a daemon and waits until it listens.
+pub fn start(binary: &str, args: &[&str]) -> Process {
+    let mut command = command(binary, args);
+    command.stdin(Stdio::null()).stdout(Stdio::null());
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("it starts");
+    let stderr = child.stderr.take().expect("stderr is piped");
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || read(stderr, &tx));
+    let mut process = Process {
+        child,
+        listens: String::new(),
+    };
+    process.listens = rx.recv_timeout(HANG).expect("it listens");
+    process
+}
+
+/// Passes the line that tells the addresses, and reads the rest so that the child never blocks.
+fn read(stderr: ChildStderr, tx: &mpsc::Sender<String>) {
+    let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
+    if let Some(line) = lines.find(|line| line.contains("listens:")) {
+        let _ = tx.send(line);
+    }
+    lines.for_each(drop);
+}
+
+impl Process {
+    /// A bound address, by the name that the log line gives it.
+    pub fn addr(&self, name: &str) -> String {
+        let line: serde_json::Value = serde_json::from_str(&self.listens).expect("logs are JSON");
+        let message = line["message"].as_str().expect("a line has a message");
+        let prefix = format!("{name}=");
+        let found = message.split(' ').find_map(|s| s.strip_prefix(&prefix));
+        found.expect("the address is told").to_owned()
+    }
+
+    /// Waits until the process has ended by itself; tells whether it ended well.
+    pub fn ended(&mut self) -> bool {
+        let deadline = time::Instant::now() + HANG;
+        while time::Instant::now() < deadline {
+            if let Some(status) = self.child.try_wait().expect("the child is ours") {
+                return status.success();
+            }
+            thread::sleep(time::Duration::from_millis(20));
+        }
+        panic!("the process doesn't end");
+    }
+}
+
+/// What a command printed and how it exited.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+/// Runs a command to its end.
+pub fn run(binary: &str, args: &[&str]) -> Ran {
+    ran(command(binary, args).output().expect("it starts"))
+}
+
+fn ran(output: Output) -> Ran {
+    Ran {
+        code: output.status.code(),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+/// Runs a command line in the background.
+pub fn spawn_cli(args: &[&str]) -> Running {
+    let mut command = command(CLI, args);
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    Running(command.spawn().expect("it starts"))
+}
+
+/// A command that runs in the background.
+pub struct Running(Child);
+
+impl Running {
+    /// Waits for the first line on standard error: the submission key, printed before the body
+    /// is sent.
+    pub fn key(&mut self) -> String {
+        let stderr = self.0.stderr.as_mut().expect("stderr is piped");
+        let mut line = Vec::new();
+        let mut byte = [0];
+        while stderr.read_exact(&mut byte).is_ok() && byte[0] != b'\n' {
+            line.push(byte[0]);
+        }
+        String::from_utf8_lossy(&line).into_owned()
+    }
+
+    /// Waits for its end.
+    pub fn finish(self) -> Ran {
+        ran(self.0.wait_with_output().expect("it ends"))
+    }
+}
+
+/// Tries again until `holds`, as what it asks about spreads through the system.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = time::Instant::now() + HANG;
+    while !holds() {
+        assert!(time::Instant::now() < deadline, "never: {what}");
+        thread::sleep(time::Duration::from_millis(30));
+    }
+}
+
+/// A file of this test, under the build's own directory.
+pub fn file(name: &str, content: impl AsRef<[u8]>) -> String {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, content).expect("the file can be written");
+    path.to_string_lossy().into_owned()
+}
--- /dev/null
+++ b/tests/processes_path.rs
@@ -0,0 +1,213 @@
+//! The binaries as plain processes: a job, a request, a cancellation, a change, a drain.
+
+mod processes;
+
+use processes::{file, run, spawn_cli, start, until, Process, Ran, AGENT, CLI, ENTRY, STANDIN};
+use serde_json::Value;
+
+const CONFIG: &str = "[[class]]\nname = \"check\"\ntarget_ms = 20000\nmax_tasks = 8\n";
+
+/// The whole system, each part a process of its own.
+struct System {
+    entries: Vec<Process>,
+    _workers: Vec<(Process, Process)>,
+    _platform: Process,
+}
+
+fn open() -> System {
+    let platform = start(STANDIN, &["platform", "--addr", "127.0.0.1:0"]);
+    let addr = platform.addr("http");
+    let any = "127.0.0.1:0";
+    let worker = |n: u32| {
+        let id = format!("agent-{n}");
+        let agent = start(
+            AGENT,
+            &[
+                "--id",
+                &id,
+                "--link",
+                any,
+                "--announce",
+                any,
+                "--platform",
+                &addr,
+            ],
+        );
+        let announce = agent.addr("announce");
+        let args = [
+            "backend", "--addr", any, "--agent", &announce, "--slots", "4",
+        ];
+        let backend = start(STANDIN, &args);
+        (agent, backend)
+    };
+    let entry = |n: u32| {
+        let id = format!("entry-{n}");
+        let args = [
+            "--id",
+            &id,
+            "--http",
+            any,
+            "--peer",
+            any,
+            "--platform",
+            &addr,
+        ];
+        start(ENTRY, &args)
+    };
+    System {
+        entries: (0..2).map(entry).collect(),
+        _workers: (0..2).map(worker).collect(),
+        _platform: platform,
+    }
+}
+
+fn cli(args: &[&str]) -> Ran {
+    run(CLI, args)
+}
+
+fn status(entry: &str) -> Value {
+    let ran = cli(&["status", "--json", "--entry", entry]);
+    serde_json::from_str(&ran.stdout).unwrap_or_default()
+}
+
+/// Two tasks that take `ms`.
+fn job(name: &str, ms: u64) -> String {
+    let task = |value: u64| serde_json::json!({"run_ms": ms, "input": {"ms": ms, "value": value}});
+    let body = serde_json::json!({
+        "customer": "harbour", "class": "check", "tasks": [task(1), task(2)],
+    });
+    file(name, body.to_string())
+}
+
+fn values(ran: &Ran) -> Vec<u64> {
+    assert_eq!(ran.code, Some(0), "{ran:?}");
+    let answer: Value = serde_json::from_str(&ran.stdout).expect("an answer is JSON");
+    let answers = answer["answers"].as_array().expect("a job has answers");
+    let value = |answer: &Value| {
+        answer["value"]
+            .as_u64()
+            .expect("a stand-in answers a value")
+    };
+    answers.iter().map(value).collect()
+}
+
+#[test]
+fn a_whole_life_in_processes() {
+    let mut system = open();
+    let addrs: Vec<String> = system.entries.iter().map(|e| e.addr("http")).collect();
+    let (first, second) = (addrs[0].as_str(), addrs[1].as_str());
+
+    // Nothing is served before there is a configuration.
+    let early = cli(&["submit", "--entry", first, &job("early.json", 1)]);
+    assert_eq!(early.code, Some(1), "{early:?}");
+    assert!(
+        early.stderr.contains("[lovagemill error]: LM2005"),
+        "{early:?}"
+    );
+
+    let config = file("path.toml", CONFIG);
+    let set = cli(&["config", "set", "--entry", first, &config]);
+    assert_eq!(set.code, Some(0), "{set:?}");
+    assert!(set.stdout.contains("accepted as version 1"), "{set:?}");
+    for entry in [first, second] {
+        until("the version is in force", || {
+            status(entry)["config_version"] == 1
+        });
+    }
+    let has_slots = |entry: &str| status(entry)["cells"][0]["owned"]["slots"] == 8;
+    until("all slots are there", || {
+        has_slots(first) || has_slots(second)
+    });
+
+    // A job comes back whole, and again under its key.
+    let file = job("job.json", 30);
+    let args = ["submit", "--entry", first, "--key", "trip-1", &file];
+    let whole = cli(&args);
+    assert_eq!(values(&whole), [1, 2]);
+    let again = cli(&["submit", "--entry", second, "--key", "trip-1", &file]);
+    assert_eq!(again.stdout, whole.stdout);
+    let other = job("other.json", 31);
+    let reused = cli(&["submit", "--entry", first, "--key", "trip-1", &other]);
+    assert!(reused.stderr.contains("LM1004"), "{reused:?}");
+
+    requests(first);
+    cancels(first, second);
+    changes(first, second);
+    drains(&mut system, &addrs);
+}
+
+fn requests(entry: &str) {
+    let body = r#"{"customer":"harbour","class":"check","idempotent":false,
+        "input":{"ms":10,"value":7}}"#;
+    let request = file("request.json", body);
+    let args = ["request", "--entry", entry, "--key", "approve-1", &request];
+    assert_eq!(values(&cli(&args)), [7]);
+    let broken = file("broken.json", "{");
+    let refused = cli(&["request", "--entry", entry, &broken]);
+    assert_eq!(refused.code, Some(1), "{refused:?}");
+    assert!(refused.stderr.contains("LM1001"), "{refused:?}");
+    assert!(refused.stderr.contains("(not run)"), "{refused:?}");
+    assert_eq!(refused.stderr.matches("[lovagemill error]:").count(), 1);
+}
+
+fn cancels(first: &str, second: &str) {
+    let long = job("long.json", 15_000);
+    let mut running = spawn_cli(&["submit", "--entry", first, "--key", "trip-2", &long]);
+    running.key();
+    let cancel = || {
+        cli(&[
+            "cancel",
+            "--entry",
+            second,
+            "--customer",
+            "harbour",
+            "trip-2",
+        ])
+    };
+    // Until the submission has arrived there is nothing to cancel.
+    until("the job is cancelled", || cancel().code == Some(0));
+    let ended = running.finish();
+    assert_eq!(ended.code, Some(1), "{ended:?}");
+    let codes = ["LM3005", "LM2009"];
+    assert!(
+        codes.iter().any(|code| ended.stderr.contains(code)),
+        "{ended:?}"
+    );
+}
+
+fn changes(first: &str, second: &str) {
+    let wider = file("wider.toml", CONFIG.replace('8', "9"));
+    let set = cli(&["config", "set", "--entry", second, "--base", "1", &wider]);
+    assert!(set.stdout.contains("accepted as version 2"), "{set:?}");
+    let late = cli(&["config", "set", "--entry", first, "--base", "1", &wider]);
+    assert_eq!(late.code, Some(1), "{late:?}");
+    assert!(late.stderr.contains("LM5002"), "{late:?}");
+    until("the change is in force everywhere", || {
+        status(first)["config_version"] == 2 && status(second)["config_version"] == 2
+    });
+    let shown = cli(&["config", "show", "--entry", first]);
+    assert!(shown.stdout.contains("max_tasks = 9"), "{shown:?}");
+    let table = cli(&["status", "--entry", first]);
+    assert!(
+        table.stdout.contains("configuration version 2"),
+        "{table:?}"
+    );
+}
+
+/// A planned stop of the owner cuts off nothing, and the other entry goes on.
+fn drains(system: &mut System, addrs: &[String]) {
+    let owns = |entry: &str| status(entry)["cells"][0]["owned"].is_object();
+    let owner = usize::from(owns(&addrs[1]));
+    let (leaving, staying) = (addrs[owner].as_str(), addrs[1 - owner].as_str());
+    let file = job("drain.json", 1_500);
+    let running = spawn_cli(&["submit", "--entry", leaving, "--key", "trip-3", &file]);
+    until("the job runs", || status(leaving)["in_flight"] == 1);
+    let drain = cli(&["drain", "--entry", leaving]);
+    assert_eq!(drain.code, Some(0), "{drain:?}");
+    assert_eq!(values(&running.finish()), [1, 2]);
+    assert!(system.entries[owner].ended());
+    let gone = cli(&["status", "--entry", leaving]);
+    assert!(gone.stderr.contains("LM6005"), "{gone:?}");
+    let after = cli(&["submit", "--entry", staying, "--key", "trip-4", &file]);
+    assert_eq!(values(&after), [1, 2]);
+}
