--- a/tests/processes_path.rs
+++ b/tests/processes/path.rs
@@ -1,8 +1,8 @@
 //! The binaries as plain processes: a job, a request, a cancellation, a change, a drain.
 
-mod processes;
-
-use processes::{file, run, spawn_cli, start, until, Process, Ran, AGENT, CLI, ENTRY, STANDIN};
+use crate::support::{
+    file, run, spawn_cli, start, until, Process, Ran, AGENT, CLI, ENTRY, STANDIN,
+};
 use serde_json::Value;
 
 const CONFIG: &str = "[[class]]\nname = \"check\"\ntarget_ms = 20000\nmax_tasks = 8\n";
