--- a/src/cli/agent.rs
+++ b/src/cli/agent.rs
@@ -69,6 +69,7 @@
     #[arg(
         long,
         env = "LOVAGEMILL_LINGER_SECONDS",
+        allow_negative_numbers = true,
         default_value = "15",
         value_name = "SECONDS"
     )]
--- a/src/cli/entry.rs
+++ b/src/cli/entry.rs
@@ -51,6 +51,7 @@
     #[arg(
         long,
         env = "LOVAGEMILL_DRAIN_SECONDS",
+        allow_negative_numbers = true,
         default_value = "30",
         value_name = "SECONDS"
     )]
--- a/src/cli/settings.rs
+++ b/src/cli/settings.rs
@@ -112,6 +112,7 @@
     #[arg(
         long,
         env = "LOVAGEMILL_PLATFORM_TIMEOUT_MS",
+        allow_negative_numbers = true,
         default_value = "500",
         value_name = "MS"
     )]
@@ -121,6 +122,7 @@
     #[arg(
         long,
         env = "LOVAGEMILL_CELLS",
+        allow_negative_numbers = true,
         default_value = "1",
         value_name = "COUNT"
     )]
@@ -134,6 +136,7 @@
     #[arg(
         long,
         env = "LOVAGEMILL_OTLP_SHARE",
+        allow_negative_numbers = true,
         default_value = "1",
         value_name = "SHARE"
     )]
--- /dev/null
+++ b/tests/filters_table.rs
@@ -0,0 +1,256 @@
+//! The filter chain, a case a line: what comes in, and what it is refused with.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use lovagemill::class::{Class, Document, Versioned};
+use lovagemill::code::Code;
+use lovagemill::filter::{self, Context, Draft, Kind};
+
+fn context() -> Context {
+    let class = Class {
+        name: "check".into(),
+        target_ms: 1_000,
+        max_tasks: 3,
+    };
+    let document = Document {
+        classes: vec![class],
+        quotas: Vec::new(),
+    };
+    let versioned = Versioned {
+        version: 1,
+        document,
+    };
+    Context {
+        config: Some(Arc::new(versioned)),
+        draining: false,
+    }
+}
+
+fn draft(kind: Kind, key: Option<&str>, body: &str) -> Draft {
+    Draft {
+        kind,
+        key: key.map(Into::into),
+        traceparent: None,
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        job: None,
+        idempotent: false,
+    }
+}
+
+fn code(cx: &Context, draft: Draft) -> Option<Code> {
+    let refusal = filter::pass(cx, draft).err()?;
+    assert!(refusal.not_run && !refusal.unknown, "{refusal:?}");
+    Some(refusal.code)
+}
+
+fn job(tasks: &str) -> String {
+    format!(r#"{{"customer":"harbour","class":"check","tasks":[{tasks}]}}"#)
+}
+
+fn request(rest: &str) -> String {
+    format!(r#"{{"customer":"harbour","class":"check","input":1{rest}}}"#)
+}
+
+#[test]
+fn jobs() {
+    let kind = "k".repeat(65);
+    let cases = [
+        ("one task", job(r#"{"input":1}"#), None),
+        (
+            "as many as allowed",
+            job(r#"{"input":1},{"input":2},{"input":3}"#),
+            None,
+        ),
+        ("any JSON as input", job(r#"{"input":{"a":[null]}}"#), None),
+        ("null as input", job(r#"{"input":null}"#), None),
+        (
+            "all fields",
+            job(r#"{"kind":"a","run_ms":600000,"needs":{"memory_mb":1},"input":1}"#),
+            None,
+        ),
+        ("no tasks", job(""), Some(Code::TaskCount)),
+        (
+            "too many",
+            job(r#"{"input":1},{"input":2},{"input":3},{"input":4}"#),
+            Some(Code::TaskCount),
+        ),
+        ("no input", job(r#"{"kind":"a"}"#), Some(Code::BadJson)),
+        (
+            "unknown field of a task",
+            job(r#"{"input":1,"weight":2}"#),
+            Some(Code::BadJson),
+        ),
+        (
+            "negative run time",
+            job(r#"{"input":1,"run_ms":-1}"#),
+            Some(Code::BadJson),
+        ),
+        (
+            "endless run time",
+            job(r#"{"input":1,"run_ms":600001}"#),
+            Some(Code::BadTask),
+        ),
+        (
+            "long kind",
+            job(&format!(r#"{{"input":1,"kind":"{kind}"}}"#)),
+            Some(Code::BadTask),
+        ),
+        (
+            "needs past any worker",
+            job(r#"{"input":1,"needs":{"memory_mb":16000001}}"#),
+            Some(Code::BadTask),
+        ),
+        (
+            "unknown need",
+            job(r#"{"input":1,"needs":{"disk":1}}"#),
+            Some(Code::BadJson),
+        ),
+        (
+            "second task at fault",
+            job(r#"{"input":1},{"input":1,"run_ms":600001}"#),
+            Some(Code::BadTask),
+        ),
+        ("empty body", String::new(), Some(Code::BadJson)),
+        (
+            "broken off",
+            r#"{"customer":"harbour","#.into(),
+            Some(Code::BadJson),
+        ),
+        ("not an object", "[]".into(), Some(Code::BadJson)),
+        (
+            "two documents",
+            format!("{0}{0}", job(r#"{"input":1}"#)),
+            Some(Code::BadJson),
+        ),
+        (
+            "unknown field",
+            r#"{"customer":"a","class":"check","tasks":[],"backend":"b"}"#.into(),
+            Some(Code::BadJson),
+        ),
+        (
+            "no customer",
+            r#"{"class":"check","tasks":[{"input":1}]}"#.into(),
+            Some(Code::BadJson),
+        ),
+        (
+            "customer with a slash",
+            r#"{"customer":"a/b","class":"check","tasks":[{"input":1}]}"#.into(),
+            Some(Code::BadTask),
+        ),
+        (
+            "empty customer",
+            r#"{"customer":"","class":"check","tasks":[{"input":1}]}"#.into(),
+            Some(Code::BadTask),
+        ),
+        (
+            "unknown class",
+            r#"{"customer":"a","class":"b","tasks":[{"input":1}]}"#.into(),
+            Some(Code::UnknownClass),
+        ),
+    ];
+    for (name, body, expected) in cases {
+        let found = code(&context(), draft(Kind::Job, Some("trip-1"), &body));
+        assert_eq!(found, expected, "{name}: {body}");
+    }
+}
+
+#[test]
+fn requests() {
+    let cases = [
+        ("not idempotent, with a key", Some("a"), request(""), None),
+        (
+            "idempotent without a key",
+            None,
+            request(r#","idempotent":true"#),
+            None,
+        ),
+        (
+            "not idempotent without a key",
+            None,
+            request(""),
+            Some(Code::KeyMissing),
+        ),
+        (
+            "said not idempotent, no key",
+            None,
+            request(r#","idempotent":false"#),
+            Some(Code::KeyMissing),
+        ),
+        (
+            "a job's body",
+            Some("a"),
+            job(r#"{"input":1}"#),
+            Some(Code::BadJson),
+        ),
+        (
+            "run time past the limit",
+            Some("a"),
+            request(r#","run_ms":600001"#),
+            Some(Code::BadTask),
+        ),
+    ];
+    for (name, key, body, expected) in cases {
+        let found = code(&context(), draft(Kind::Request, key, &body));
+        assert_eq!(found, expected, "{name}: {body}");
+    }
+}
+
+#[test]
+fn keys() {
+    let (longest, longer) = ("k".repeat(128), "k".repeat(129));
+    let cases = [
+        (Some("0193b3c2-7a1e-7cc0-8000-0123456789ab"), None),
+        (Some("trip:17#a"), None),
+        (Some(longest.as_str()), None),
+        (Some(longer.as_str()), Some(Code::KeyMissing)),
+        (Some(""), Some(Code::KeyMissing)),
+        (Some("a/b"), Some(Code::KeyMissing)),
+        (Some("a b"), Some(Code::KeyMissing)),
+        (Some("trip\u{e9}"), Some(Code::KeyMissing)),
+        (None, Some(Code::KeyMissing)),
+    ];
+    for (key, expected) in cases {
+        let found = code(&context(), draft(Kind::Job, key, &job(r#"{"input":1}"#)));
+        assert_eq!(found, expected, "{key:?}");
+    }
+}
+
+/// Whatever else is wrong with it, a submission to an entry that can't take any is sent elsewhere.
+#[test]
+fn entries_that_take_nothing() {
+    let unconfigured = Context {
+        config: None,
+        ..context()
+    };
+    let draining = Context {
+        draining: true,
+        ..context()
+    };
+    let both = Context {
+        config: None,
+        draining: true,
+    };
+    let cases = [
+        (unconfigured, Code::NoConfiguration),
+        (draining, Code::Draining),
+        (both, Code::Draining),
+    ];
+    for (cx, expected) in cases {
+        for body in [job(r#"{"input":1}"#), "{".to_owned()] {
+            let refused = filter::pass(&cx, draft(Kind::Job, Some("a"), &body));
+            let refusal = refused.expect_err("nothing is taken");
+            assert_eq!(refusal.code, expected);
+            assert!(refusal.retry_after_ms.is_some(), "{refusal:?}");
+        }
+    }
+}
+
+/// The message names the place, so that a caller needs no second look at a long job.
+#[test]
+fn refusals_name_the_place() {
+    let body = job(r#"{"input":1},{"input":1,"run_ms":600001}"#);
+    let refused = filter::pass(&context(), draft(Kind::Job, Some("a"), &body));
+    let message = refused.expect_err("out of range").message;
+    assert!(message.starts_with("tasks[1].run_ms: "), "{message}");
+}
