--- a/tests/config_file_check.rs
+++ b/tests/config_file_check.rs
@@ -4,6 +4,9 @@
 use std::path::Path;
 use std::process::{Command, Output};
 
+use lovagemill::class;
+use lovagemill::demo::deployment;
+
 const CLASS: &str = "[[class]]\nname = \"a\"\ntarget_ms = 5\n";
 
 fn check(file: &Path) -> Output {
@@ -42,6 +45,25 @@
     assert_eq!(output.status.code(), Some(0), "{output:?}");
 }
 
+/// The example files are what `load` needs to be in force.
+#[test]
+fn the_example_files_are_the_deployments() {
+    let examples = [
+        (
+            include_str!("../docs/examples/trilha.toml"),
+            deployment::trilha(),
+        ),
+        (
+            include_str!("../docs/examples/kwinana.toml"),
+            deployment::kwinana(),
+        ),
+    ];
+    for (example, deployment) in examples {
+        let document = class::Document::parse(example.as_bytes());
+        assert_eq!(document, Ok(deployment.config), "{}", deployment.name);
+    }
+}
+
 #[test]
 fn bad_files_are_refused_with_the_place() {
     let class = |rest: &str| format!("[[class]]\nname = \"a\"\n{rest}\n").into_bytes();
