Count the starts of a load over separate processes, and read a first configuration soon

A load against running processes printed 0 starts and 0 double starts that nobody had counted. The stand-in backend servers hand their counts over; without them the report leaves these fields out.

--- a/src/cli/command/work.rs
+++ b/src/cli/command/work.rs
@@ -3,11 +3,15 @@
 use std::time;
 
 use clap::{Args, ValueEnum};
+use serde_json::Value;
 
+use crate::cli::client;
 use crate::cli::settings::{self, Mistakes};
 use crate::cli::ExitCode;
 use crate::decide::{fleet, owner, queue};
 use crate::demo::{self, caller, deployment, report};
+use crate::standin::backend;
+use crate::standin::truth::{self, Truth};
 
 /// Largest load that is offered, as a share of the capacity.
 const MAX_LOAD: f64 = 20.0;
@@ -108,6 +112,10 @@
     )]
     pub entries: Vec<String>,
 
+    /// HTTP addresses of all stand-in backend servers, whose starts are counted
+    #[arg(long, value_delimiter = ',', value_name = "HOST:PORT")]
+    pub backends: Vec<String>,
+
     /// Slots of all backend servers, from which the offered work is worked out
     #[arg(long, default_value_t = 88)]
     pub slots: u32,
@@ -179,7 +187,10 @@
     mistakes.expect(opts.slots > 0, "--slots", "use 1 or more");
     let addrs = !opts.entries.is_empty() && opts.entries.iter().all(|a| settings::is_address(a));
     mistakes.expect(addrs, "--entries", "use HOST:PORT,HOST:PORT");
+    let backends = opts.backends.iter().all(|a| settings::is_address(a));
+    mistakes.expect(backends, "--backends", "use HOST:PORT,HOST:PORT");
     mistakes.finish()?;
+    take_counts(&opts.backends).await?;
     cfg.deployment.workers = 1;
     cfg.deployment.slots_per_worker = opts.slots;
     cfg.deployment.client_one_way = time::Duration::ZERO;
@@ -189,8 +200,61 @@
         slots: opts.slots,
         truth: None,
     };
-    let report = demo::offer(&cfg, target).await;
-    print(&report, opts.work.json)
+    let (tally, took) = demo::offer(&cfg, target).await;
+    let truth = Truth::default();
+    for counts in take_counts(&opts.backends).await? {
+        truth.add(counts);
+    }
+    let report = tally.report(&cfg, &truth, took);
+    if opts.backends.is_empty() {
+        print_uncounted(&report, opts.work.json)
+    } else {
+        print(&report, opts.work.json)
+    }
+}
+
+/// Takes the counts of all stand-in backend servers away.
+async fn take_counts(backends: &[String]) -> anyhow::Result<Vec<truth::Snapshot>> {
+    let mut all = Vec::new();
+    for addr in backends {
+        all.push(client::open(addr).get(backend::TAKE_COUNTS).await?);
+    }
+    Ok(all)
+}
+
+/// What only the backend servers know, or the processes together.
+const UNCOUNTED: [&str; 8] = [
+    "tasks_started",
+    "started_twice",
+    "false_not_run",
+    "work_after_leave",
+    "messages",
+    "messages_per_task",
+    "wasted_per_task",
+    "slots_used",
+];
+
+/// Prints a report of callers alone: what wasn't counted is left out, not shown as 0.
+fn print_uncounted(report: &report::Report, json: bool) -> anyhow::Result<ExitCode> {
+    if json {
+        let mut value = serde_json::to_value(report)?;
+        for field in UNCOUNTED {
+            value[field] = Value::Null;
+        }
+        println!("{}", serde_json::to_string_pretty(&value)?);
+    } else {
+        let counted = |line: &&str| !line.starts_with("tasks ") && !line.starts_with("broken ");
+        for line in report.table().lines().filter(counted) {
+            println!("{line}");
+        }
+        let (partial, foreign) = (report.partial_answers, report.foreign_answers);
+        println!("partial answers {partial}, foreign answers {foreign}");
+        println!("starts weren't counted; --backends names the stand-ins that know them");
+    }
+    if report.violations() > 0 {
+        return Ok(ExitCode::Violation);
+    }
+    Ok(ExitCode::Success)
 }
 
 fn print(report: &report::Report, json: bool) -> anyhow::Result<ExitCode> {
--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -17,7 +17,7 @@
 /// also rides on messages (`docs/design/configuration.md`).
 pub const POLL: time::Duration = time::Duration::from_secs(3);
 
-/// Pause after a failed read.
+/// Pause after a failed read, and while there is no configuration yet.
 const RETRY: time::Duration = time::Duration::from_millis(300);
 
 /// The configuration of one process; clones share it.
@@ -72,6 +72,8 @@
                     changed(config);
                     POLL
                 }
+                // Before the first version nothing is served, and nobody may know of a newer one.
+                Ok(None) if self.version() == 0 => RETRY,
                 Ok(None) => POLL,
                 Err(e) => {
                     log::warn!("the configuration can't be read: {e}");
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -48,19 +48,19 @@
         entries: cluster.entry_addrs(),
         one_way: cfg.deployment.client_one_way,
         slots: cfg.deployment.slots(),
-        truth: Some(truth),
+        truth: Some(truth.clone()),
     };
-    let mut report = offer(&cfg, target).await;
+    let (tally, took) = offer(&cfg, target).await;
+    let mut report = tally.report(&cfg, &truth, took);
     report.count_messages(cluster.messages_since(&before));
     cluster.stop().await;
     Ok(report)
 }
 
-/// Offers a workload to running entries and reports.
-pub async fn offer(cfg: &Config, target: caller::Target) -> report::Report {
+/// Offers a workload to running entries; returns what callers saw, and how long it took.
+pub async fn offer(cfg: &Config, target: caller::Target) -> (Arc<report::Tally>, time::Duration) {
     let mut load = workload::open(&cfg.deployment, cfg.seed, cfg.dominant_load, cfg.small_load);
     let tally = Arc::new(report::Tally::open());
-    let truth = target.truth.clone().unwrap_or_default();
     let caller = caller::open(target, tally.clone());
     let begun = time::Instant::now();
     let mut due = begun;
@@ -84,7 +84,7 @@
     if cfg.progress {
         tally.end_progress();
     }
-    tally.report(cfg, &truth, begun.elapsed())
+    (tally, begun.elapsed())
 }
 
 /// Mints a submission key; one that tells its age, or a plain random one.
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -28,6 +28,9 @@
 /// Largest input that is taken.
 const MAX_INPUT: usize = 8 * 1024 * 1024;
 
+/// Path that takes the counts of this process away, for a load that is driven by another.
+pub const TAKE_COUNTS: &str = "/counts/take";
+
 /// The input that stand-ins understand.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Input {
@@ -191,6 +194,9 @@
     }
 
     async fn run(self: Arc<Self>, incoming: Incoming) -> Reply {
+        if incoming.uri.path() == TAKE_COUNTS {
+            return Reply::json(StatusCode::OK, &self.truth.take());
+        }
         let job = CompactString::from(incoming.header(backend::JOB).unwrap_or_default());
         let index = incoming
             .header(backend::INDEX)
--- a/src/standin/truth.rs
+++ b/src/standin/truth.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::id;
 use crate::task;
@@ -24,7 +25,45 @@
     by_backend: HashMap<CompactString, u64>,
 }
 
+/// Counts on their way between processes.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Snapshot {
+    /// Starts by task.
+    pub starts: Vec<(task::Id, u32)>,
+    /// Starts that came a few seconds after a leave.
+    pub work_after_leave: u64,
+    /// Runs that were cut off.
+    pub cut_off: u64,
+    /// Slot time by customer, in microseconds.
+    pub slot_micros: HashMap<id::Customer, u64>,
+}
+
 impl Truth {
+    /// Takes the counts away, so that the next run begins at nothing.
+    pub fn take(&self) -> Snapshot {
+        let inner = std::mem::take(&mut *self.lock());
+        Snapshot {
+            starts: inner.starts.into_iter().collect(),
+            work_after_leave: inner.work_after_leave,
+            cut_off: inner.cut_off,
+            slot_micros: inner.slot_micros,
+        }
+    }
+
+    /// Adds the counts of another process, so that a task started by two of them shows.
+    pub fn add(&self, snapshot: Snapshot) {
+        let mut inner = self.lock();
+        for (id, n) in snapshot.starts {
+            *inner.started.entry(id.job.clone()).or_default() += n;
+            *inner.starts.entry(id).or_default() += n;
+        }
+        for (customer, micros) in snapshot.slot_micros {
+            *inner.slot_micros.entry(customer).or_default() += micros;
+        }
+        inner.work_after_leave += snapshot.work_after_leave;
+        inner.cut_off += snapshot.cut_off;
+    }
+
     /// Counts a start.
     pub fn start(&self, backend: &str, id: &task::Id) {
         let mut inner = self.lock();
--- a/tests/processes/path.rs
+++ b/tests/processes/path.rs
@@ -5,12 +5,15 @@
 };
 use serde_json::Value;
 
-const CONFIG: &str = "[[class]]\nname = \"check\"\ntarget_ms = 20000\nmax_tasks = 8\n";
+const CONFIG: &str = concat!(
+    "[[class]]\nname = \"check\"\ntarget_ms = 20000\nmax_tasks = 8\n",
+    include_str!("../../docs/examples/trilha.toml")
+);
 
 /// The whole system, each part a process of its own.
 struct System {
     entries: Vec<Process>,
-    _workers: Vec<(Process, Process)>,
+    workers: Vec<(Process, Process)>,
     _platform: Process,
 }
 
@@ -56,7 +59,7 @@
     };
     System {
         entries: (0..2).map(entry).collect(),
-        _workers: (0..2).map(worker).collect(),
+        workers: (0..2).map(worker).collect(),
         _platform: platform,
     }
 }
@@ -133,6 +136,7 @@
     requests(first);
     cancels(first, second);
     changes(first, second);
+    loads(&system, &addrs);
     drains(&mut system, &addrs);
 }
 
@@ -176,7 +180,10 @@
 }
 
 fn changes(first: &str, second: &str) {
-    let wider = file("wider.toml", CONFIG.replace('8', "9"));
+    let wider = file(
+        "wider.toml",
+        CONFIG.replace("max_tasks = 8", "max_tasks = 9"),
+    );
     let set = cli(&["config", "set", "--entry", second, "--base", "1", &wider]);
     assert!(set.stdout.contains("accepted as version 2"), "{set:?}");
     let late = cli(&["config", "set", "--entry", first, "--base", "1", &wider]);
@@ -194,6 +201,28 @@
     );
 }
 
+/// The starts are counted in the backend servers' processes and meet in the report.
+fn loads(system: &System, addrs: &[String]) {
+    let backends = system
+        .workers
+        .iter()
+        .map(|(_, backend)| backend.addr("http"));
+    let backends: Vec<String> = backends.collect();
+    let (entries, backends) = (addrs.join(","), backends.join(","));
+    let args = ["load", "--json", "--seconds", "1", "--slots", "8"];
+    let args = [&args[..], &["--entries", &entries]].concat();
+    let counted = cli(&[&args[..], &["--backends", &backends]].concat());
+    assert_eq!(counted.code, Some(0), "{counted:?}");
+    let report: Value = serde_json::from_str(&counted.stdout).expect("a report is JSON");
+    assert!(report["tasks_started"].as_u64() > Some(0), "{report}");
+    assert_eq!(report["started_twice"], 0, "{report}");
+    assert_eq!(report["foreign_answers"], 0, "{report}");
+    let uncounted = cli(&args);
+    let report: Value = serde_json::from_str(&uncounted.stdout).expect("a report is JSON");
+    assert!(report["jobs_complete"].as_u64() > Some(0), "{report}");
+    assert!(report["started_twice"].is_null(), "{report}");
+}
+
 /// A planned stop of the owner cuts off nothing, and the other entry goes on.
 fn drains(system: &mut System, addrs: &[String]) {
     let owns = |entry: &str| status(entry)["cells"][0]["owned"].is_object();
