--- a/src/agent/join.rs
+++ b/src/agent/join.rs
@@ -84,13 +84,23 @@
         row.lost = lost_lives(before);
     }
     let value = serde_json::to_string(&row)?;
-    match (table.commit)(Transaction::put_if(&key, revision, value)).await {
+    let mut tx = Transaction::put_if(&key, revision, value);
+    tx.writes.push(members_changed(cell, work));
+    match (table.commit)(tx).await {
         Ok(Commit::Done(_)) => Ok(()),
         Ok(Commit::Conflict(_)) => bail!("another life of this agent wrote its row"),
         Err(e) => Err(anyhow!("the agent's row can't be written: {e:?}")),
     }
 }
 
+/// Changes the row by which the cell's owner sees that its members have changed.
+fn members_changed(cell: id::Cell, work: &Work) -> platform::Write {
+    platform::Write {
+        key: rows::members(cell),
+        value: Some(format!("\"{}\"", work.id())),
+    }
+}
+
 /// The lives that ended without a drain, the one before included, as long as they matter.
 fn lost_lives(before: rows::Agent) -> Vec<inherit::LostLife> {
     let now_ms = since_epoch().as_millis() as u64;
@@ -126,6 +136,7 @@
     agent.lost.pop();
     let mut tx = Transaction::put_if(&key, row.revision, String::new());
     tx.writes[0].value = None;
+    tx.writes.push(members_changed(cell, work));
     if agent.lost.is_empty() {
         let _ = (table.commit)(tx).await;
     }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -130,19 +130,22 @@
     work: &Arc<Work>,
     messages: count::Messages,
 ) -> link::Service<agent::Hello, notice::Notice, agent::Down, agent::Up> {
-    let (greeting, taking, grouping) = (work.clone(), work.clone(), work.clone());
+    let (greeting, taking) = (work.clone(), work.clone());
     link::Service {
-        greet: Arc::new(move |hello, tx| greeting.greet(&hello, tx)),
-        take: Arc::new(move |down| taking.take(down)),
-        group: Arc::new(move |notices| {
-            messages.add(agent::kind_up(&notices), 1);
-            grouping.group(notices)
+        greet: Arc::new(move |hello: agent::Hello, tx| {
+            greeting.greet(&hello, tx);
+            let (work, messages) = (greeting.clone(), messages.clone());
+            Arc::new(move |notices: Vec<notice::Notice>| {
+                messages.add(agent::kind_up(&notices), 1);
+                work.group(hello.link, notices)
+            })
         }),
+        take: Arc::new(move |down| taking.take(down)),
     }
 }
 
 async fn tick(work: Arc<Work>) {
-    let mut interval = tokio::time::interval(agent::HEARTBEAT);
+    let mut interval = tokio::time::interval(agent::TICK);
     loop {
         interval.tick().await;
         work.tick();
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -1,7 +1,6 @@
 //! The work of an agent: what runs, what waits for a slot, and the answers' way up.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
@@ -26,6 +25,9 @@
 /// Silence of a backend server after which nothing new is sent to it.
 const BACKEND_SILENCE: time::Duration = time::Duration::from_secs(2);
 
+/// Pause between looks for what need not be remembered any more.
+const SWEEP: time::Duration = time::Duration::from_secs(1);
+
 /// The shared state of an agent's parts.
 pub struct Work {
     cfg: Config,
@@ -34,7 +36,7 @@
     messages: count::Messages,
     inner: Mutex<Inner>,
     changed: Notify,
-    spoke: AtomicBool,
+    spoke: Mutex<time::Instant>,
 }
 
 struct Inner {
@@ -43,6 +45,10 @@
     running: HashMap<task::Id, Running>,
     waiting: VecDeque<order::Start>,
     owner: Option<link::Sender<Notice>>,
+    /// The owner's link, and how many of its messages have come.
+    link: id::Link,
+    received: u64,
+    swept: time::Instant,
     draining: bool,
 }
 
@@ -71,10 +77,13 @@
                 running: HashMap::new(),
                 waiting: VecDeque::new(),
                 owner: None,
+                link: 0,
+                received: 0,
+                swept: time::Instant::now(),
                 draining: false,
             }),
             changed: Notify::new(),
-            spoke: AtomicBool::new(false),
+            spoke: Mutex::new(time::Instant::now()),
         })
     }
 
@@ -109,12 +118,17 @@
         };
         let _ = tx.send(Notice::Welcome(welcome));
         inner.owner = Some(tx);
+        inner.link = hello.link;
+        inner.received = 0;
     }
 
     /// Takes one message of an owner.
     pub fn take(self: &Arc<Self>, down: agent::Down) {
         let mut inner = self.lock();
         let now = time::Instant::now();
+        if down.link == inner.link {
+            inner.received += 1;
+        }
         // A restarted agent has a new life; orders to the old one mean nothing to it.
         if down.incarnation != self.incarnation {
             return;
@@ -250,24 +264,37 @@
         self.fill(&mut inner);
     }
 
-    /// Groups notices into one message, with the load of this moment.
-    pub fn group(&self, notices: Vec<Notice>) -> agent::Up {
-        self.spoke.store(true, Ordering::Relaxed);
-        let load = self.lock().load(time::Instant::now());
-        agent::Up { notices, load }
+    /// Groups notices of one link into one message, with the load of this moment.
+    pub fn group(&self, link: id::Link, notices: Vec<Notice>) -> agent::Up {
+        *self.spoke.lock().expect("the time is whole") = time::Instant::now();
+        let inner = self.lock();
+        let current = link == inner.link;
+        agent::Up {
+            notices,
+            load: inner.load(time::Instant::now()),
+            link,
+            received: if current { inner.received } else { 0 },
+        }
     }
 
     /// Does what is due: a heartbeat where nothing was said, and forgetting what is old.
     pub fn tick(&self) {
         let mut inner = self.lock();
         let now = time::Instant::now();
-        if !self.spoke.swap(false, Ordering::Relaxed) {
+        let mut spoke = self.spoke.lock().expect("the time is whole");
+        if now.saturating_duration_since(*spoke) >= agent::HEARTBEAT {
+            // The next one is due a whole pause later, also where the writer is not free yet.
+            *spoke = now;
             inner.tell(Notice::Heartbeat);
         }
+        drop(spoke);
         if inner.slots(now) == 0 {
             inner.give_back(now);
         }
-        inner.ledger.sweep(now);
+        if now.saturating_duration_since(inner.swept) >= SWEEP {
+            inner.swept = now;
+            inner.ledger.sweep(now);
+        }
     }
 
     /// Starts nothing new from now on, and says so.
--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -2,7 +2,8 @@
 //!
 //! A claim that a start waits for leaves at once, with all others that wait; one written behind
 //! its start may wait [`GATHER`] for company. Old claims are removed by the same transactions, so
-//! that forgetting costs no message.
+//! that forgetting costs no message. Each also changes the beat's row, so that an owner that
+//! writes claims needs no beats of its own.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -18,8 +19,9 @@
 use crate::wire::platform::{self, Commit, Condition, Transaction, Write};
 use crate::wire::rows;
 
-/// How long claims written behind their starts are gathered.
-pub const GATHER: time::Duration = time::Duration::from_millis(400);
+/// How long claims written behind their starts are gathered. It stays well under
+/// [`inherit::TABLE_SIGHT`], since these writes are the owner's sight of the table.
+pub const GATHER: time::Duration = time::Duration::from_millis(900);
 
 /// Most claims in a group.
 const MAX_GROUP: usize = 1_000;
@@ -168,8 +170,12 @@
         key: key.clone(),
         value: serde_json::to_string(&claims).ok(),
     }];
+    writes.push(Write {
+        key: rows::beat(scope.cell),
+        value: Some(format!("[{},{at_ms}]", scope.epoch)),
+    });
     let expired = since_epoch().saturating_sub(ledger::RETENTION);
-    while old.front().is_some_and(|(_, at)| *at < expired) && writes.len() <= MAX_REMOVED {
+    while old.front().is_some_and(|(_, at)| *at < expired) && writes.len() <= MAX_REMOVED + 1 {
         let (key, _) = old.pop_front().expect("the front was there");
         writes.push(Write { key, value: None });
     }
--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -1,6 +1,11 @@
-//! Keeps the configuration current: a slow poll, and at once when a message tells of a newer one.
+//! Keeps the configuration current: reads it when the watched rows or a message tell of a newer one.
+//!
+//! The entries' ownership loops watch the row with the newest version's number, and messages
+//! between entries carry the number too, so the document itself is read only when it has changed.
+//! A process that knows of a newer version and can't read the table asks its peers for the
+//! document. `docs/design/configuration.md` has the bounds.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
 use anyhow::anyhow;
@@ -8,17 +13,28 @@
 
 use crate::class;
 use crate::code;
+use crate::controller::backoff;
 use crate::decide::config;
 use crate::id;
-use crate::wire::platform::{self, Commit, Transaction};
+use crate::wire::platform::{self, Commit, Transaction, Write};
 use crate::wire::rows;
 
-/// Pause between polls. A change is in force everywhere within this at the latest, since the news
-/// also rides on messages (`docs/design/configuration.md`).
-pub const POLL: time::Duration = time::Duration::from_secs(3);
+/// Pause between reads that nothing asked for. Guards against a document that was written without
+/// its version's row: nobody is told of it, and this read finds it all the same.
+pub const POLL: time::Duration = time::Duration::from_secs(60);
 
-/// Pause after a failed read.
-const RETRY: time::Duration = time::Duration::from_millis(300);
+/// Pause between reads before any document was found.
+const FIRST: time::Duration = time::Duration::from_millis(500);
+
+/// Pauses while the table fails, growing from the first to the second with jitter.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(100);
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Pause before a change whose answer was lost is looked for again.
+const RESOLVE: time::Duration = time::Duration::from_millis(300);
+
+/// How often a change whose answer was lost is looked for.
+const RESOLVE_TRIES: u32 = 5;
 
 /// The configuration of one process; clones share it.
 #[derive(Clone)]
@@ -28,6 +44,14 @@
     news: Arc<Notify>,
 }
 
+/// What the loop reports.
+pub struct Events {
+    /// A version has come into force.
+    pub changed: Box<dyn Fn(Arc<class::Versioned>) + Send + Sync>,
+    /// A newer version than the one given exists, and the table can't be read.
+    pub behind: Box<dyn Fn(id::Version) + Send + Sync>,
+}
+
 /// Opens the configuration; nothing is in force until [`Config::run`] has read a version.
 pub fn open(table: platform::Table) -> Config {
     Config {
@@ -40,57 +64,87 @@
 impl Config {
     /// The configuration in force, or none before any was read.
     pub fn get(&self) -> Option<Arc<class::Versioned>> {
-        self.current
-            .lock()
-            .expect("the configuration is whole")
-            .get()
+        self.lock().get()
     }
 
     /// The version in force; 0 before any was read.
     pub fn version(&self) -> id::Version {
-        self.current
-            .lock()
-            .expect("the configuration is whole")
-            .version()
+        self.lock().version()
     }
 
-    /// Notes a version that another process has in force.
+    /// The newest version that this process has heard of.
+    pub fn newest_known(&self) -> id::Version {
+        self.lock().newest_known()
+    }
+
+    /// Notes a version that another process has in force or that a row tells of.
     pub fn hear(&self, version: id::Version) {
-        let mut current = self.current.lock().expect("the configuration is whole");
+        let mut current = self.lock();
         current.hear(version);
         if current.is_behind() {
             self.news.notify_one();
         }
     }
 
-    /// Polls for ever; calls `changed` with every version that comes into force.
-    pub async fn run(self, changed: impl Fn(Arc<class::Versioned>)) {
+    /// Takes a whole configuration that another process has read.
+    pub fn offer(&self, offered: class::Versioned) {
+        if self.lock().accept(offered) {
+            self.news.notify_one();
+        }
+    }
+
+    /// Keeps the configuration current for ever.
+    pub async fn run(self, events: Events) {
+        let mut backoff = backoff::open(MIN_PAUSE, MAX_PAUSE);
+        let mut reported = 0;
         loop {
-            let pause = match self.read().await {
-                Ok(Some(config)) => {
-                    log::info!("configuration version {} is in force", config.version);
-                    changed(config);
-                    POLL
-                }
-                Ok(None) => POLL,
-                Err(e) => {
-                    log::warn!("the configuration can't be read: {e}");
-                    RETRY
-                }
-            };
+            let mut pause = POLL;
+            if self.wants_read(reported) {
+                pause = match self.read().await {
+                    Ok(found) => {
+                        backoff.reset();
+                        if found {
+                            POLL
+                        } else {
+                            FIRST
+                        }
+                    }
+                    Err(e) => {
+                        log::warn!("the configuration can't be read: {e}");
+                        (events.behind)(self.version());
+                        backoff.pause()
+                    }
+                };
+            }
+            if let Some(config) = self.get().filter(|config| config.version > reported) {
+                reported = config.version;
+                log::info!("configuration version {reported} is in force");
+                (events.changed)(config);
+            }
             let _ = tokio::time::timeout(pause, self.news.notified()).await;
         }
     }
 
-    async fn read(&self) -> anyhow::Result<Option<Arc<class::Versioned>>> {
+    /// A document that came from a peer needs no read; everything else that wakes the loop does.
+    fn wants_read(&self, reported: id::Version) -> bool {
+        let current = self.lock();
+        current.is_behind() || current.version() == reported
+    }
+
+    /// Reads the document and takes it over; tells whether there is one.
+    async fn read(&self) -> anyhow::Result<bool> {
         let row = (self.table.get)(rows::CONFIG.into()).await;
         let row = row.map_err(|e| anyhow!("{e:?}"))?;
         let Some(row) = row else {
-            return Ok(None);
+            return Ok(false);
         };
         let read: class::Versioned = serde_json::from_str(&row.value)?;
-        let mut current = self.current.lock().expect("the configuration is whole");
-        Ok(current.accept(read).then(|| current.get()).flatten())
+        self.lock().accept(read);
+        Ok(true)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, config::Current> {
+        self.current.lock().expect("the configuration is whole")
     }
 
     /// Changes the document if `base` is still the newest version.
@@ -123,27 +177,32 @@
             document,
         };
         let value = serde_json::to_string(&next).map_err(|_| plain(code::Code::ConfigInvalid))?;
-        let tx = Transaction::put_if(rows::CONFIG, revision, value.clone());
+        let mut tx = Transaction::put_if(rows::CONFIG, revision, value.clone());
+        tx.writes.push(Write {
+            key: rows::CONFIG_VERSION.into(),
+            value: Some(next.version.to_string()),
+        });
         match (self.table.commit)(tx).await {
             Ok(Commit::Done(_)) => {}
             Ok(Commit::Conflict(_)) => return Err(plain(code::Code::VersionConflict)),
             Err(platform::Error::NotDone) => return Err(plain(code::Code::StoreDown)),
             Err(platform::Error::Unknown) => self.resolve(&value).await.map_err(plain)?,
         }
-        self.hear(next.version);
-        Ok(next.version)
+        let version = next.version;
+        self.offer(next);
+        Ok(version)
     }
 
     /// Reads whether a change whose answer was lost took effect.
     async fn resolve(&self, value: &str) -> Result<(), code::Code> {
-        for _ in 0..5 {
+        for _ in 0..RESOLVE_TRIES {
             match (self.table.get)(rows::CONFIG.into()).await {
                 Ok(Some(row)) if row.value == value => return Ok(()),
                 Ok(Some(row)) if version_of(&row.value) >= version_of(value) => {
                     return Err(code::Code::VersionConflict)
                 }
                 // The write may still be under way, so "not there" proves nothing.
-                Ok(_) | Err(_) => tokio::time::sleep(RETRY).await,
+                Ok(_) | Err(_) => tokio::time::sleep(RESOLVE).await,
             }
         }
         Err(code::Code::ChangeUnknown)
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -1,21 +1,23 @@
 //! Keeps an owner's links to the agents of its cell, by the rows that the agents write.
+//!
+//! The rows are read when the row that every join and leave changes has changed.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time;
 
 use anyhow::anyhow;
+use tokio::sync::Notify;
 
+use crate::controller::backoff;
 use crate::decide::inherit;
 use crate::id;
 use crate::wire::platform;
 use crate::wire::rows;
 
-/// Pause between reads of the members.
-pub const POLL: time::Duration = time::Duration::from_secs(2);
-
-/// Pause after a failed read.
-const RETRY: time::Duration = time::Duration::from_millis(200);
+/// Pauses while the table fails, growing from the first to the second with jitter.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(100);
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
 
 /// What the loop reports.
 pub struct Events {
@@ -25,25 +27,31 @@
     pub current: Box<dyn Fn(&HashMap<id::AgentId, rows::Agent>) + Send + Sync>,
 }
 
-/// Reads the members of a cell for ever.
-pub async fn run(table: platform::Table, cell: id::Cell, events: Arc<Events>) {
+/// Reads the members of a cell at once, and again whenever `changed` tells that they have changed.
+pub async fn run(
+    table: platform::Table,
+    cell: id::Cell,
+    changed: Arc<Notify>,
+    events: Arc<Events>,
+) {
     let mut first = true;
+    let mut backoff = backoff::open(MIN_PAUSE, MAX_PAUSE);
     loop {
-        let pause = match read(&table, cell).await {
+        match read(&table, cell).await {
             Ok(members) => {
                 if first {
                     (events.first)(&members);
                     first = false;
                 }
                 (events.current)(&members);
-                POLL
+                backoff.reset();
+                changed.notified().await;
             }
             Err(e) => {
                 log::warn!("the members of cell {cell} can't be read: {e}");
-                RETRY
+                tokio::time::sleep(backoff.pause()).await;
             }
-        };
-        tokio::time::sleep(pause).await;
+        }
     }
 }
 
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -4,28 +4,33 @@
 //! on suspicion, and the only question is how soon. `docs/design/claims.md` has the order.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
 use compact_str::CompactString;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3;
 
+use crate::controller::backoff;
+use crate::decide::head;
 use crate::id;
 use crate::wire::platform::{self, Commit, Condition, Revision, Transaction, Write};
 use crate::wire::rows;
 
-/// Pause between beats of an owner, each of which proves that it still is the owner.
-pub const BEAT: time::Duration = time::Duration::from_millis(900);
-
-/// Pause between looks at the cells of others.
-pub const LOOK: time::Duration = time::Duration::from_secs(2);
+/// Age of the last proof of ownership after which an owner beats. It is a little longer than
+/// claims are gathered for, whose writes are proofs and beats as well.
+pub const BEAT: time::Duration = time::Duration::from_millis(1_100);
 
 /// Beats that have to fail to come before a cell is taken from an owner that is only silent.
 pub const SILENCE: time::Duration = time::Duration::from_secs(3);
 
-/// Pause after a failed operation.
+/// Pause between looks while an owner is suspected.
 const RETRY: time::Duration = time::Duration::from_millis(150);
 
+/// Pauses while the table fails, growing from the first to the second with jitter.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(100);
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
+
 /// What an entry is to the ownership.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -54,6 +59,8 @@
     pub other: Box<dyn Fn(id::Cell, &rows::Owner) + Send + Sync>,
     /// The owner was seen in the table by an operation that began at the time given.
     pub seen: Box<dyn Fn(id::Cell, time::Instant) + Send + Sync>,
+    /// The watched rows were read and have changed since the last read.
+    pub head: Box<dyn Fn(&[platform::Row]) + Send + Sync>,
 }
 
 /// The ownership of one entry.
@@ -63,6 +70,8 @@
     cells: u16,
     events: Events,
     inner: Mutex<HashMap<id::Cell, State>>,
+    sight: Mutex<head::Sight>,
+    outage: Mutex<backoff::Backoff>,
     wake: Notify,
 }
 
@@ -70,6 +79,8 @@
 struct State {
     owned: Option<(id::Epoch, Revision)>,
     beats: u64,
+    /// When the last operation began that proved the ownership.
+    proved: Option<time::Instant>,
     /// What is suspected of the owner of which epoch.
     suspicion: Option<(id::Epoch, Suspicion)>,
     beat_seen: Option<(Revision, time::Instant)>,
@@ -89,6 +100,8 @@
         cells,
         events,
         inner: Mutex::default(),
+        sight: Mutex::default(),
+        outage: Mutex::new(backoff::open(MIN_PAUSE, MAX_PAUSE)),
         wake: Notify::new(),
     })
 }
@@ -116,6 +129,11 @@
         self.wake.notify_one();
     }
 
+    /// Forgets that a cell was owned until the next look finds it again.
+    pub fn forget(&self, cell: id::Cell) {
+        self.change(cell, |state| state.owned = None);
+    }
+
     /// Hands all owned cells over: others find them without an owner. Takes none from now on.
     pub async fn resign(&self) {
         for cell in 0..self.cells {
@@ -147,42 +165,79 @@
         self.wake.notify_one();
     }
 
+    /// Notes that an operation which began at `begun` proved the ownership and changed the beat's
+    /// row, so that no beat of its own is due for a while.
+    pub fn proved(&self, cell: id::Cell, begun: time::Instant) {
+        self.change(cell, |state| state.proved = state.proved.max(Some(begun)));
+    }
+
+    /// Notes what another entry read of the watched rows.
+    pub fn hear(&self, digest: head::Digest, age: time::Duration) {
+        let news = self.sight().hear(time::Instant::now(), digest, age);
+        if news {
+            self.wake.notify_one();
+        }
+    }
+
+    /// What other entries may be told of the watched rows.
+    pub fn tell(&self) -> Option<(head::Digest, time::Duration)> {
+        self.sight().tell(time::Instant::now())
+    }
+
     /// Watches for ever.
     pub async fn run(self: Arc<Self>) {
-        let mut looked = None;
         loop {
-            let due = looked.is_none_or(|at: time::Instant| at.elapsed() >= LOOK);
-            let woken = self.wait(due).await;
-            if woken || due {
+            let woken = tokio::time::timeout(self.pause(), self.wake.notified()).await;
+            // A table that is down is asked at a falling pace, whoever wants to know.
+            tokio::time::sleep(self.outage(|outage| outage.left())).await;
+            if woken.is_ok() || self.is_suspicious() || self.look_due_in().is_zero() {
                 self.look_at_cells().await;
-                looked = Some(time::Instant::now());
             }
             self.beat_for_cells().await;
         }
     }
 
-    async fn wait(&self, at_once: bool) -> bool {
-        if at_once {
-            return false;
-        }
-        let suspicious = {
+    fn pause(&self) -> time::Duration {
+        let suspicious = self.is_suspicious().then_some(RETRY);
+        let beat = self.beat_due_in();
+        let soonest = [suspicious, beat].into_iter().flatten().min();
+        let look = self.look_due_in();
+        soonest.map_or(look, |soonest| soonest.min(look))
+    }
+
+    fn is_suspicious(&self) -> bool {
+        let inner = self.inner.lock().expect("the ownership is whole");
+        inner
+            .values()
+            .any(|state| state.suspicion.is_some() && state.owned.is_none())
+    }
+
+    fn look_due_in(&self) -> time::Duration {
+        let owns = {
             let inner = self.inner.lock().expect("the ownership is whole");
-            inner
-                .values()
-                .any(|state| state.suspicion.is_some() && state.owned.is_none())
+            inner.values().any(|state| state.owned.is_some())
         };
-        let pause = if suspicious { RETRY } else { BEAT };
-        let woken = tokio::time::timeout(pause, self.wake.notified())
-            .await
-            .is_ok();
-        woken || suspicious
+        self.sight().due_in(time::Instant::now(), owns)
+    }
+
+    fn beat_due_in(&self) -> Option<time::Duration> {
+        let now = time::Instant::now();
+        let inner = self.inner.lock().expect("the ownership is whole");
+        inner
+            .values()
+            .filter_map(|state| state.beat_due_in(now))
+            .min()
     }
 
     async fn look_at_cells(&self) {
-        let Ok(found) = (self.table.scan)(rows::CELLS.into()).await else {
-            tokio::time::sleep(RETRY).await;
+        let begun = time::Instant::now();
+        let found = (self.table.scan)(rows::HEAD.into()).await;
+        let Ok(found) = self.note(found) else {
             return;
         };
+        if self.sight().read(begun, digest(&found)) {
+            (self.events.head)(&found);
+        }
         let by_key: HashMap<_, _> = found.iter().map(|row| (row.key.clone(), row)).collect();
         for cell in 0..self.cells {
             let row = by_key.get(&rows::cell(cell)).copied();
@@ -269,14 +324,13 @@
         }
     }
 
-    /// Beats for every owned cell, and learns from the condition whether it is still owned.
+    /// Beats for every owned cell that nothing else proved lately, and learns from the condition
+    /// whether it is still owned.
     async fn beat_for_cells(&self) {
         for cell in 0..self.cells {
-            let state = self.change(cell, |state| {
-                state.beats += 1;
-                state.clone()
-            });
-            let Some((epoch, revision)) = state.owned else {
+            let now = time::Instant::now();
+            let due = self.change(cell, |state| state.begin_beat(now));
+            let Some((epoch, revision, beat)) = due else {
                 continue;
             };
             let tx = Transaction {
@@ -286,12 +340,15 @@
                 }],
                 writes: vec![Write {
                     key: rows::beat(cell),
-                    value: Some(format!("[{epoch},{}]", state.beats)),
+                    value: Some(format!("[{epoch},{beat}]")),
                 }],
             };
-            let begun = time::Instant::now();
-            match (self.table.commit)(tx).await {
-                Ok(Commit::Done(_)) => (self.events.seen)(cell, begun),
+            let committed = (self.table.commit)(tx).await;
+            match self.note(committed) {
+                Ok(Commit::Done(_)) => {
+                    self.proved(cell, now);
+                    (self.events.seen)(cell, now);
+                }
                 Ok(Commit::Conflict(_)) => self.deposed(cell),
                 Err(_) => {}
             }
@@ -302,4 +359,46 @@
         let mut inner = self.inner.lock().expect("the ownership is whole");
         f(inner.entry(cell).or_default())
     }
+
+    /// Notes whether the table answered, for the pause before it is asked again.
+    fn note<T>(&self, answer: Result<T, platform::Error>) -> Result<T, platform::Error> {
+        self.outage(|outage| outage.note(answer.is_ok()));
+        answer
+    }
+
+    fn outage<T>(&self, f: impl FnOnce(&mut backoff::Backoff) -> T) -> T {
+        f(&mut self.outage.lock().expect("the outage is whole"))
+    }
+
+    fn sight(&self) -> MutexGuard<'_, head::Sight> {
+        self.sight.lock().expect("the sight is whole")
+    }
+}
+
+impl State {
+    /// Time until a beat is due, if the cell is owned.
+    fn beat_due_in(&self, now: time::Instant) -> Option<time::Duration> {
+        self.owned?;
+        let due = self.proved.map_or(now, |at| at + BEAT);
+        Some(due.saturating_duration_since(now))
+    }
+
+    fn begin_beat(&mut self, now: time::Instant) -> Option<(id::Epoch, Revision, u64)> {
+        if !self.beat_due_in(now)?.is_zero() {
+            return None;
+        }
+        let (epoch, revision) = self.owned?;
+        self.beats += 1;
+        Some((epoch, revision, self.beats))
+    }
+}
+
+/// Sums up rows by their revisions, in 53 bits, which JSON numbers of other languages hold.
+fn digest(rows: &[platform::Row]) -> head::Digest {
+    let mut hasher = xxh3::Xxh3::new();
+    for row in rows {
+        hasher.update(row.key.as_bytes());
+        hasher.update(&row.revision.to_be_bytes());
+    }
+    hasher.digest() >> 11
 }
--- a/src/decide/config.rs
+++ b/src/decide/config.rs
@@ -35,6 +35,11 @@
         self.heard > self.version()
     }
 
+    /// The newest version that was read or heard of.
+    pub fn newest_known(&self) -> id::Version {
+        self.heard.max(self.version())
+    }
+
     /// The version in force; 0 before any was read.
     pub fn version(&self) -> id::Version {
         self.newest.as_ref().map_or(0, |v| v.version)
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod action;
 pub mod config;
+pub mod delivery;
 pub mod estimate;
 pub mod fleet;
+pub mod head;
 pub mod inherit;
 pub mod job;
 pub mod ledger;
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 
 use crate::class;
+use crate::controller::backoff;
 use crate::controller::claims;
 use crate::controller::membership;
 use crate::count;
@@ -18,6 +19,7 @@
 use crate::decide::notice;
 use crate::decide::order::Order;
 use crate::decide::owner;
+use crate::entry::agent_link::{self, AgentLink, LinkSender};
 use crate::id;
 use crate::submission;
 use crate::wire::agent;
@@ -32,9 +34,9 @@
 /// Longest that acknowledgements wait for an order to ride with.
 const MAX_LAZY: time::Duration = time::Duration::from_secs(1);
 
-/// Pause between attempts to connect to an agent, doubled up to the maximum.
-const MIN_PAUSE: time::Duration = time::Duration::from_millis(20);
-const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
+/// Pauses between attempts to read the claims, growing from the first to the second.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(50);
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
 
 /// Who waits for a job's ending.
 pub enum Waiter {
@@ -64,6 +66,8 @@
     pub config: Arc<class::Versioned>,
     /// Called where the cell turns out to have another owner.
     pub deposed: Box<dyn Fn() + Send + Sync>,
+    /// Called where a write that began at the time given proved the ownership.
+    pub proved: Box<dyn Fn(time::Instant) + Send + Sync>,
 }
 
 /// A running cell.
@@ -74,20 +78,12 @@
     waiters: Mutex<HashMap<action::Waiter, Waiter>>,
     next_waiter: AtomicU64,
     claims: mpsc::UnboundedSender<action::Claim>,
+    members_changed: Arc<Notify>,
+    members_seen: Mutex<Option<platform::Revision>>,
     tasks: Mutex<Vec<JoinHandle<()>>>,
     stopped: AtomicBool,
 }
 
-/// The link to one agent, and the loop that tends it.
-struct AgentLink {
-    row: rows::Agent,
-    tx: Option<link::Sender<Order>>,
-    lazy: Vec<Order>,
-    lazy_since: time::Instant,
-    heard: time::Instant,
-    tending: JoinHandle<()>,
-}
-
 /// Spawns a cell whose epoch was just written to the table.
 pub fn spawn(scope: Scope) -> Arc<Cell> {
     let now = time::Instant::now();
@@ -101,6 +97,8 @@
         waiters: Mutex::default(),
         next_waiter: AtomicU64::new(1),
         claims: tx,
+        members_changed: Arc::default(),
+        members_seen: Mutex::default(),
         tasks: Mutex::default(),
         stopped: AtomicBool::new(false),
     });
@@ -108,6 +106,7 @@
         tokio::spawn(membership::run(
             cell.scope.table.clone(),
             cell.scope.cell,
+            cell.members_changed.clone(),
             Arc::new(membership_events(&cell)),
         )),
         tokio::spawn(write_claims(Arc::downgrade(&cell), rx)),
@@ -159,6 +158,7 @@
             let Some(cell) = written.upgrade() else {
                 return;
             };
+            (cell.scope.proved)(begun);
             cell.with(|owner, now| {
                 owner.table_seen(begun);
                 owner.claimed(now, keys);
@@ -219,6 +219,14 @@
         self.with(|owner, _| owner.table_seen(begun));
     }
 
+    /// Notes the revision of the row that every join and leave changes.
+    pub fn members_row(&self, revision: platform::Revision) {
+        let mut seen = self.members_seen.lock().expect("the revision is whole");
+        if seen.replace(revision) != Some(revision) {
+            self.members_changed.notify_one();
+        }
+    }
+
     /// Reads the owner's state, for status and metrics.
     pub fn read<T>(&self, f: impl FnOnce(&owner::Owner) -> T) -> T {
         f(&self.lock())
@@ -324,13 +332,14 @@
         }
     }
 
-    /// Closes links that went silent and sends acknowledgements that found nothing to ride with.
+    /// Closes links that went silent, in either direction, and sends acknowledgements that found
+    /// nothing to ride with.
     fn tend_links(&self) {
         let now = time::Instant::now();
         let mut links = self.links.lock().expect("the links are whole");
         for link in links.values_mut() {
             let silent = now.saturating_duration_since(link.heard) > agent::SILENCE;
-            if silent && link.tx.take().is_some() {
+            if (silent || link.is_stuck(now)) && link.close() {
                 log::warn!(
                     "link to agent at {} went silent; it is replaced",
                     link.row.addr
@@ -361,19 +370,12 @@
             if links.contains_key(id) {
                 continue;
             }
-            let tending = tokio::spawn(tend(Arc::downgrade(self), id.clone(), row.clone()));
-            let now = time::Instant::now();
-            links.insert(
+            let tending = tokio::spawn(agent_link::tend(
+                Arc::downgrade(self),
                 id.clone(),
-                AgentLink {
-                    row: row.clone(),
-                    tx: None,
-                    lazy: Vec::new(),
-                    lazy_since: now,
-                    heard: now,
-                    tending,
-                },
-            );
+                row.clone(),
+            ));
+            links.insert(id.clone(), AgentLink::open(row.clone(), tending));
         }
         drop(links);
         let left: Vec<_> = gone
@@ -389,6 +391,7 @@
 
     /// Reads the claims of earlier owners; returns the rows, oldest first.
     async fn inherit_claims(&self) -> Vec<claims::Written> {
+        let mut backoff = backoff::open(MIN_PAUSE, MAX_PAUSE);
         loop {
             match self.read_claims().await {
                 Ok((claims, old)) => {
@@ -397,7 +400,7 @@
                 }
                 Err(e) => log::warn!("claims of cell {} can't be read: {e}", self.scope.cell),
             }
-            tokio::time::sleep(MIN_PAUSE + MAX_PAUSE.mul_f64(rand::random())).await;
+            tokio::time::sleep(backoff.pause()).await;
         }
     }
 
@@ -416,10 +419,13 @@
     }
 
     /// Takes one message of an agent.
-    fn take(&self, id: &id::AgentId, tx: &LinkSender, up: agent::Up) {
+    pub fn take(&self, id: &id::AgentId, tx: &LinkSender, up: agent::Up) {
         if let Some(link) = self.links.lock().expect("the links are whole").get_mut(id) {
             link.heard = time::Instant::now();
         }
+        if up.link == tx.link {
+            tx.delivery().confirm(up.received);
+        }
         let mut load = Some(up.load);
         for notice in up.notices {
             match notice {
@@ -439,111 +445,35 @@
         });
     }
 
-    fn link_lost(&self, id: &id::AgentId) {
+    /// Notes that an agent's link is gone.
+    pub fn link_lost(&self, id: &id::AgentId) {
         if let Some(link) = self.links.lock().expect("the links are whole").get_mut(id) {
-            link.tx = None;
+            link.close();
         }
         self.with(|owner, now| owner.link_lost(now, id));
     }
 
-    fn use_link(&self, id: &id::AgentId, tx: &LinkSender) {
-        let mut links = self.links.lock().expect("the links are whole");
-        if let Some(link) = links.get_mut(id) {
-            link.tx = tx.slot.lock().expect("the slot is whole").take();
+    /// Notes a connection that is being made to an agent.
+    pub fn connecting(&self, id: &id::AgentId, sender: Arc<LinkSender>) {
+        if let Some(link) = self.links.lock().expect("the links are whole").get_mut(id) {
+            link.heard = time::Instant::now();
+            link.sender = Some(sender);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, owner::Owner> {
-        self.owner.lock().expect("the owner's state is whole")
+    /// What the cell was spawned with.
+    pub fn scope(&self) -> &Scope {
+        &self.scope
     }
-}
-
-/// The sending half of a link until the agent's welcome puts it to use.
-struct LinkSender {
-    slot: Mutex<Option<link::Sender<Order>>>,
-    incarnation: AtomicU64,
-}
 
-/// Keeps one agent linked, for as long as its row stands.
-async fn tend(cell: Weak<Cell>, id: id::AgentId, row: rows::Agent) {
-    let mut pause = MIN_PAUSE;
-    loop {
-        let closed = Arc::new(Notify::new());
-        match connect(&cell, &id, &row, &closed).await {
-            Ok(()) => {
-                closed.notified().await;
-                pause = MIN_PAUSE;
-            }
-            Err(e) => log::debug!("agent {id} can't be reached: {e}"),
+    fn use_link(&self, id: &id::AgentId, tx: &LinkSender) {
+        let mut links = self.links.lock().expect("the links are whole");
+        if let Some(link) = links.get_mut(id) {
+            link.tx = tx.take();
         }
-        let Some(strong) = cell.upgrade() else {
-            return;
-        };
-        strong.link_lost(&id);
-        drop(strong);
-        tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
-        pause = (pause * 2).min(MAX_PAUSE);
     }
-}
 
-async fn connect(
-    cell: &Weak<Cell>,
-    id: &id::AgentId,
-    row: &rows::Agent,
-    closed: &Arc<Notify>,
-) -> anyhow::Result<()> {
-    let strong = cell.upgrade().ok_or_else(|| anyhow!("the cell is gone"))?;
-    let hello = agent::Hello {
-        entry: strong.scope.entry.clone(),
-        cell: strong.scope.cell,
-        epoch: strong.scope.epoch,
-    };
-    let (tx, rx) = mpsc::unbounded_channel();
-    let sender = Arc::new(LinkSender {
-        slot: Mutex::new(Some(tx)),
-        incarnation: AtomicU64::new(0),
-    });
-    let peer = link::Peer {
-        take: taker(cell.clone(), id.clone(), sender.clone()),
-        group: grouper(&strong.scope, sender.clone()),
-        closed: {
-            let closed = closed.clone();
-            Box::new(move || closed.notify_one())
-        },
-    };
-    if let Some(link) = strong
-        .links
-        .lock()
-        .expect("the links are whole")
-        .get_mut(id)
-    {
-        link.heard = time::Instant::now();
+    fn lock(&self) -> MutexGuard<'_, owner::Owner> {
+        self.owner.lock().expect("the owner's state is whole")
     }
-    drop(strong);
-    link::connect(&row.addr, hello, rx, peer).await
-}
-
-type Taker = Arc<dyn Fn(agent::Up) + Send + Sync>;
-
-fn taker(cell: Weak<Cell>, id: id::AgentId, sender: Arc<LinkSender>) -> Taker {
-    Arc::new(move |up| {
-        if let Some(cell) = cell.upgrade() {
-            cell.take(&id, &sender, up);
-        }
-    })
-}
-
-type Grouper = Arc<dyn Fn(Vec<Order>) -> agent::Down + Send + Sync>;
-
-fn grouper(scope: &Scope, sender: Arc<LinkSender>) -> Grouper {
-    let (cell, epoch, messages) = (scope.cell, scope.epoch, scope.messages.clone());
-    Arc::new(move |orders| {
-        messages.add(agent::kind_down(&orders), 1);
-        agent::Down {
-            cell,
-            epoch,
-            incarnation: sender.incarnation.load(Ordering::SeqCst),
-            orders,
-        }
-    })
 }
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -13,12 +13,14 @@
 use crate::controller::ownership;
 use crate::count;
 use crate::entry::cell::{self, Cell, Waiter};
+use crate::entry::inward;
 use crate::entry::peers::{self, Peers};
 use crate::entry::Config;
 use crate::id;
 use crate::key;
 use crate::refusal::Refusal;
 use crate::submission::{self, Submission};
+use crate::wire::peer;
 use crate::wire::platform;
 use crate::wire::rows;
 
@@ -71,6 +73,7 @@
         peer_addr: CompactString,
         platform: platform::Platform,
         messages: count::Messages,
+        door: inward::Door,
     ) -> Arc<Core> {
         Arc::new_cyclic(|core| {
             let candidate = ownership::Candidate {
@@ -84,7 +87,7 @@
             Core {
                 config: config::open(table.clone()),
                 ownership: ownership::open(table, candidate, cfg.cells, events),
-                peers: Peers::open(cfg.id.clone()),
+                peers: Peers::open(door),
                 places: std::iter::repeat_with(nowhere)
                     .take(cfg.cells.into())
                     .collect(),
@@ -102,14 +105,8 @@
 
     /// Starts the loops.
     pub fn spawn(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
-        let core = Arc::downgrade(self);
-        let changed = move |config: Arc<crate::class::Versioned>| {
-            if let Some(core) = core.upgrade() {
-                core.configure(&config);
-            }
-        };
         vec![
-            tokio::spawn(self.config.clone().run(changed)),
+            tokio::spawn(self.config.clone().run(config_events(self))),
             tokio::spawn(self.ownership.clone().run()),
             tokio::spawn(peers::tend(Arc::downgrade(self))),
         ]
@@ -239,19 +236,56 @@
                 cell.configure(config.clone());
             }
         }
-        self.ownership.look();
+        if config.version == 1 || !self.owns_any() {
+            // Cells that were won before there was a configuration are taken up now.
+            self.ownership.look();
+        }
+        self.peers.announce_config();
+    }
+
+    /// Takes what another entry knows of the watched rows.
+    pub fn hear_head(&self, head: &peer::Head) {
+        let age = time::Duration::from_millis(head.age_ms);
+        self.ownership.hear(head.digest, age);
+    }
+
+    /// What other entries may be told of the watched rows.
+    pub fn tell_head(&self) -> Option<peer::Head> {
+        let (digest, age) = self.ownership.tell()?;
+        Some(peer::Head {
+            digest,
+            age_ms: age.as_millis() as u64,
+        })
+    }
+
+    /// Takes the watched rows after a change.
+    fn head_changed(&self, found: &[platform::Row]) {
+        for row in found {
+            if row.key == rows::CONFIG_VERSION {
+                self.config.hear(row.value.parse().unwrap_or(0));
+            }
+        }
+        for (cell, place) in self.places().into_iter().enumerate() {
+            let key = rows::members(cell as id::Cell);
+            let row = found.iter().find(|row| row.key == key);
+            if let (Place::Here(owner), Some(row)) = (place, row) {
+                owner.members_row(row.revision);
+            }
+        }
+        self.peers.announce_head();
     }
 
     /// Takes up a cell that this entry has won.
     fn won(self: &Arc<Self>, cell: id::Cell, epoch: id::Epoch, revision: platform::Revision) {
         let Some(config) = self.config.get() else {
             // Without a configuration nothing may be served. Forgetting the ownership makes the
-            // next look report it again.
-            self.ownership.deposed(cell);
+            // look after the first configuration report it again.
+            self.ownership.forget(cell);
             return;
         };
         log::info!("this entry owns cell {cell} at epoch {epoch}");
         let ownership = Arc::downgrade(&self.ownership);
+        let proving = ownership.clone();
         let owner = cell::spawn(cell::Scope {
             cell,
             epoch,
@@ -266,6 +300,11 @@
                     ownership.deposed(cell);
                 }
             }),
+            proved: Box::new(move |begun| {
+                if let Some(ownership) = proving.upgrade() {
+                    ownership.proved(cell, begun);
+                }
+            }),
         });
         self.put(cell, Place::Here(owner));
     }
@@ -345,6 +384,7 @@
 
 fn ownership_events(core: &Weak<Core>) -> ownership::Events {
     let (won, other, seen) = (core.clone(), core.clone(), core.clone());
+    let head = core.clone();
     ownership::Events {
         won: Box::new(move |cell, epoch, revision| {
             if let Some(core) = won.upgrade() {
@@ -364,6 +404,27 @@
                 owner.table_seen(begun);
             }
         }),
+        head: Box::new(move |found| {
+            if let Some(core) = head.upgrade() {
+                core.head_changed(found);
+            }
+        }),
+    }
+}
+
+fn config_events(core: &Arc<Core>) -> config::Events {
+    let (changed, behind) = (Arc::downgrade(core), Arc::downgrade(core));
+    config::Events {
+        changed: Box::new(move |config| {
+            if let Some(core) = changed.upgrade() {
+                core.configure(&config);
+            }
+        }),
+        behind: Box::new(move |version| {
+            if let Some(core) = behind.upgrade() {
+                core.peers.want_config(version);
+            }
+        }),
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,8 +1,10 @@
 //! The entry: takes callers and operators over HTTP, owns cells, dispatches.
 
+mod agent_link;
 mod cell;
 mod core;
 mod http;
+mod inward;
 mod operate;
 mod peers;
 mod status;
@@ -59,13 +61,14 @@
     platform: platform::Platform,
     messages: count::Messages,
 ) -> anyhow::Result<Entry> {
-    let door = peers::Door::default();
-    let peers = link::bind(cfg.peer_addr, peers::service(&door, messages.clone())).await?;
+    let door = inward::Door::default();
+    let service = inward::service(&door, cfg.id.clone(), messages.clone());
+    let peers = link::bind(cfg.peer_addr, service).await?;
     let addr = match &cfg.advertise {
         Some(addr) => addr.clone(),
         None => peers.addr().to_compact_string(),
     };
-    let core = Core::open(cfg.clone(), addr, platform, messages);
+    let core = Core::open(cfg.clone(), addr, platform, messages, door.clone());
     door.open(&core);
     let http = http::bind(cfg.http_addr, core.clone()).await?;
     let tasks = core.spawn();
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,30 +1,30 @@
-//! Between entries: the links to the owners of other cells, and the way in for other entries.
+//! The links to the owners of other cells, and what this entry knows of other entries.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, Weak};
+use std::sync::{Arc, Mutex, Weak};
 use std::time;
 
 use compact_str::CompactString;
 use tokio::sync::oneshot;
 
 use crate::controller::ownership::Suspicion;
-use crate::count;
-use crate::entry::cell::Waiter;
+use crate::decide::delivery;
 use crate::entry::core::{Core, Place};
+use crate::entry::inward;
 use crate::id;
-use crate::key;
 use crate::submission::{Ending, Submission};
 use crate::wire::link;
-use crate::wire::peer::{self, Passed, Returned, HEARTBEAT, SILENCE};
+use crate::wire::peer::{self, Passed, Returned, SILENCE};
 
 /// How often the links are looked after.
 const TICK: time::Duration = time::Duration::from_millis(100);
 
 /// The links to owners, by address.
 pub struct Peers {
-    entry: id::EntryId,
     links: Mutex<HashMap<CompactString, Arc<PeerLink>>>,
+    versions: Mutex<BTreeMap<id::EntryId, id::Version>>,
+    door: inward::Door,
 }
 
 /// One link to an owner.
@@ -34,19 +34,85 @@
     next: AtomicU64,
     heard: Mutex<time::Instant>,
     connecting: AtomicBool,
-    /// Counts connections, so that the end of an old one doesn't close its successor.
-    connections: AtomicU64,
+    connection: Mutex<Arc<Connection>>,
+}
+
+/// One connection of a link. The end of an old one doesn't close its successor.
+#[derive(Default)]
+struct Connection {
+    link: id::Link,
+    delivery: Mutex<delivery::Delivery>,
 }
 
 impl Peers {
     /// Opens an entry's side of the links.
-    pub fn open(entry: id::EntryId) -> Peers {
+    pub fn open(door: inward::Door) -> Peers {
         Peers {
-            entry,
             links: Mutex::default(),
+            versions: Mutex::default(),
+            door,
         }
     }
 
+    /// Tells all linked entries that the configuration has changed here.
+    pub fn announce_config(&self) {
+        self.tell(|| Passed::Heartbeat);
+        self.door.tell(|| Returned::Heartbeat);
+    }
+
+    /// Tells the entries that rely on this one's reads that the watched rows have changed.
+    pub fn announce_head(&self) {
+        self.door.tell(|| Returned::Heartbeat);
+    }
+
+    /// Asks all linked entries for a configuration newer than the one given.
+    pub fn want_config(&self, version: id::Version) {
+        self.tell(|| Passed::WantConfig(version));
+        self.door.tell(|| Returned::WantConfig(version));
+    }
+
+    fn tell(&self, item: impl Fn() -> Passed) {
+        let links = self.links.lock().expect("the links are whole");
+        for link in links.values() {
+            if let Some(tx) = &*link.tx.lock().expect("the link is whole") {
+                let _ = tx.send(item());
+            }
+        }
+    }
+
+    /// Notes the configuration version of another entry, and passes news of it on.
+    pub fn note_version(&self, entry: &id::EntryId, version: id::Version) {
+        let mut versions = self.versions.lock().expect("the versions are whole");
+        if versions.insert(entry.clone(), version) != Some(version) {
+            self.door.tell(|| Returned::Versions(versions.clone()));
+        }
+    }
+
+    /// The configuration versions of other entries, as last heard.
+    pub fn versions(&self) -> BTreeMap<id::EntryId, id::Version> {
+        self.versions
+            .lock()
+            .expect("the versions are whole")
+            .clone()
+    }
+
+    fn note_versions(&self, heard: BTreeMap<id::EntryId, id::Version>) {
+        let mut versions = self.versions.lock().expect("the versions are whole");
+        versions.extend(heard);
+    }
+
+    /// Gives up links to entries that own nothing any more.
+    fn retain(&self, owners: &HashSet<CompactString>) {
+        let mut links = self.links.lock().expect("the links are whole");
+        links.retain(|addr, link| {
+            let stays = owners.contains(addr);
+            if !stays {
+                link.lose();
+            }
+            stays
+        });
+    }
+
     /// Passes a submission on. Returns whether it left, and its ending unless the link broke or
     /// the receiver isn't the owner.
     pub async fn submit(
@@ -129,7 +195,7 @@
             next: AtomicU64::new(1),
             heard: Mutex::new(time::Instant::now()),
             connecting: AtomicBool::new(false),
-            connections: AtomicU64::new(0),
+            connection: Mutex::default(),
         }
     }
 }
@@ -145,18 +211,44 @@
         *self.heard.lock().expect("the link is whole") = time::Instant::now();
     }
 
+    fn give_config(&self, core: &Core, than: id::Version) {
+        let newer = core.config.get().filter(|config| config.version > than);
+        let tx = self.tx.lock().expect("the link is whole");
+        if let (Some(config), Some(tx)) = (newer, &*tx) {
+            let _ = tx.send(Passed::Config(Box::new((*config).clone())));
+        }
+    }
+
     fn is_up(&self) -> bool {
         self.tx.lock().expect("the link is whole").is_some()
     }
 
+    /// Tells whether the owner isn't heard, or doesn't receive what is sent.
     fn is_silent(&self) -> bool {
-        self.heard.lock().expect("the link is whole").elapsed() > SILENCE
+        let heard = *self.heard.lock().expect("the link is whole");
+        let connection = self.connection();
+        let delivery = connection.delivery.lock().expect("the delivery is whole");
+        heard.elapsed() > SILENCE || delivery.is_stuck(time::Instant::now(), SILENCE)
+    }
+
+    fn connection(&self) -> Arc<Connection> {
+        self.connection.lock().expect("the link is whole").clone()
     }
 
     fn take(&self, core: &Weak<Core>, up: peer::Up) {
         self.hear();
-        if let Some(core) = core.upgrade() {
-            core.config.hear(up.config);
+        let connection = self.connection();
+        if connection.link == up.link {
+            let mut delivery = connection.delivery.lock().expect("the delivery is whole");
+            delivery.confirm(up.received);
+        }
+        let Some(core) = core.upgrade() else {
+            return;
+        };
+        core.config.hear(up.config);
+        core.peers.note_version(&up.entry, up.config);
+        if let Some(head) = &up.head {
+            core.hear_head(head);
         }
         let mut waiting = self.waiting.lock().expect("the link is whole");
         for item in up.items {
@@ -167,6 +259,12 @@
                     }
                 }
                 Returned::NotOwner(seq) => drop(waiting.remove(&seq)),
+                Returned::WantConfig(version) => self.give_config(&core, version),
+                Returned::Config(config) => core.config.offer(*config),
+                Returned::Versions(mut versions) => {
+                    versions.remove(&core.cfg.id);
+                    core.peers.note_versions(versions);
+                }
                 Returned::Heartbeat => {}
             }
         }
@@ -181,11 +279,14 @@
         let Some(core) = core.upgrade() else {
             return;
         };
+        let mut owners = HashSet::new();
         for (cell, place) in core.places().into_iter().enumerate() {
             if let Place::There(owner) = place {
+                owners.insert(owner.addr.clone());
                 tend_one(&core, cell as id::Cell, &owner.addr, owner.epoch);
             }
         }
+        core.peers.retain(&owners);
     }
 }
 
@@ -224,120 +325,41 @@
     let weak = Arc::downgrade(core);
     let grouping = core.config.clone();
     let messages = core.messages.clone();
-    let entry = core.peers.entry.clone();
-    let number = link.connections.fetch_add(1, Ordering::SeqCst) + 1;
+    let entry = core.cfg.id.clone();
+    let connection = Arc::new(Connection {
+        // JSON numbers of other languages hold 53 bits.
+        link: rand::random::<u64>() >> 11,
+        delivery: Mutex::default(),
+    });
+    *link.connection.lock().expect("the link is whole") = connection.clone();
     link.hear();
     let hello = peer::Hello {
-        entry: core.peers.entry.clone(),
+        entry: entry.clone(),
+        link: connection.link,
     };
+    let number = connection.link;
     let ends = link::Peer {
         take: Arc::new(move |up| taking.take(&weak, up)),
         group: Arc::new(move |items: Vec<Passed>| {
             messages.add(peer::kind_down(&items), 1);
+            let mut delivery = connection.delivery.lock().expect("the delivery is whole");
+            delivery.send(time::Instant::now());
             peer::Down {
                 entry: entry.clone(),
+                link: connection.link,
                 config: grouping.version(),
                 items,
             }
         }),
         closed: Box::new(move || {
-            if closing.connections.load(Ordering::SeqCst) == number {
+            if closing.connection().link == number {
                 closing.lose();
             }
         }),
     };
     link::connect(addr, hello, rx, ends).await?;
+    // Tells the owner this entry's configuration version.
+    let _ = tx.send(Passed::Heartbeat);
     *link.tx.lock().expect("the link is whole") = Some(tx);
     Ok(())
 }
-
-/// Lets the listener be bound before the core is there that answers.
-#[derive(Clone, Default)]
-pub struct Door {
-    core: Arc<OnceLock<Weak<Core>>>,
-}
-
-impl Door {
-    /// Puts the core behind the listener.
-    pub fn open(&self, core: &Arc<Core>) {
-        let _ = self.core.set(Arc::downgrade(core));
-    }
-
-    fn core(&self) -> Option<Arc<Core>> {
-        self.core.get()?.upgrade()
-    }
-}
-
-/// The way in for other entries.
-pub fn service(
-    door: &Door,
-    messages: count::Messages,
-) -> link::Service<peer::Hello, Returned, peer::Down, peer::Up> {
-    let (grouping, taking) = (door.clone(), door.clone());
-    let links: Arc<Mutex<HashMap<id::EntryId, link::Sender<Returned>>>> = Arc::default();
-    let greeting = links.clone();
-    link::Service {
-        greet: Arc::new(move |hello: peer::Hello, tx| {
-            tokio::spawn(heartbeat(tx.clone()));
-            greeting
-                .lock()
-                .expect("the links are whole")
-                .insert(hello.entry, tx);
-        }),
-        take: Arc::new(move |down: peer::Down| {
-            if let Some(core) = taking.core() {
-                take(&core, &links, down);
-            }
-        }),
-        group: Arc::new(move |items: Vec<Returned>| {
-            messages.add(peer::kind_up(&items), 1);
-            let config = grouping.core().map_or(0, |core| core.config.version());
-            peer::Up { config, items }
-        }),
-    }
-}
-
-async fn heartbeat(tx: link::Sender<Returned>) {
-    let mut interval = tokio::time::interval(HEARTBEAT);
-    while tx.send(Returned::Heartbeat).is_ok() {
-        interval.tick().await;
-    }
-}
-
-type Inwards = Mutex<HashMap<id::EntryId, link::Sender<Returned>>>;
-
-fn take(core: &Arc<Core>, links: &Inwards, down: peer::Down) {
-    core.config.hear(down.config);
-    let inward = links
-        .lock()
-        .expect("the links are whole")
-        .get(&down.entry)
-        .cloned();
-    let Some(tx) = inward else {
-        return;
-    };
-    for item in down.items {
-        match item {
-            Passed::Submit(seq, submission) => {
-                let cell = key::cell(&submission.key, core.cfg.cells);
-                let waiter = Waiter::Peer(tx.clone(), seq);
-                match core.place(cell) {
-                    Place::Here(owner) => owner.submit(Arc::new(*submission), waiter),
-                    Place::There(_) | Place::Nowhere => {
-                        let _ = tx.send(Returned::NotOwner(seq));
-                    }
-                }
-            }
-            Passed::Cancel(seq, key) => {
-                let waiter = Waiter::Peer(tx.clone(), seq);
-                match core.place(key::cell(&key, core.cfg.cells)) {
-                    Place::Here(owner) => owner.cancel(&key, waiter),
-                    Place::There(_) | Place::Nowhere => {
-                        let _ = tx.send(Returned::NotOwner(seq));
-                    }
-                }
-            }
-            Passed::Heartbeat => {}
-        }
-    }
-}
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -15,6 +15,10 @@
 pub struct Status {
     entry: id::EntryId,
     config_version: id::Version,
+    /// The versions of the other entries, as last heard.
+    other_versions: BTreeMap<id::EntryId, id::Version>,
+    /// Entries whose version is behind the newest that is known here.
+    stragglers: Vec<id::EntryId>,
     draining: bool,
     in_flight: usize,
     cells: Vec<CellStatus>,
@@ -46,9 +50,12 @@
 /// `GET /v1/status`.
 pub fn status(core: &Core) -> Status {
     let places = core.places().into_iter().enumerate();
+    let versions = core.peers.versions();
     Status {
         entry: core.cfg.id.clone(),
         config_version: core.config.version(),
+        stragglers: stragglers(core, &versions),
+        other_versions: versions,
         draining: core.is_draining(),
         in_flight: core.in_flight(),
         cells: places
@@ -58,6 +65,15 @@
     }
 }
 
+fn stragglers(core: &Core, others: &BTreeMap<id::EntryId, id::Version>) -> Vec<id::EntryId> {
+    let newest = core.config.newest_known();
+    let own = (&core.cfg.id, &core.config.version());
+    let all = others.iter().chain([own]);
+    all.filter(|(_, version)| **version < newest)
+        .map(|(entry, _)| entry.clone())
+        .collect()
+}
+
 fn cell_status(core: &Core, cell: id::Cell, place: &Place) -> CellStatus {
     let (owner, epoch, owned) = match place {
         Place::Nowhere => (String::new(), 0, None),
--- a/src/id.rs
+++ b/src/id.rs
@@ -29,6 +29,9 @@
 /// A customer's submission key, prefixed with the customer so that two never meet.
 pub type JobKey = CompactString;
 
+/// Tells the links of a process apart; chosen at random by the side that connects.
+pub type Link = u64;
+
 /// Numbers a task inside its job, from 0.
 pub type TaskIndex = u32;
 
--- a/src/wire/agent.rs
+++ b/src/wire/agent.rs
@@ -11,8 +11,11 @@
 use crate::decide::order;
 use crate::id;
 
-/// Silence after which the agent, or an owner towards another entry, sends a heartbeat.
-pub const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+/// Silence after which the agent sends a heartbeat; two fit into [`SILENCE`].
+pub const HEARTBEAT: time::Duration = time::Duration::from_millis(700);
+
+/// How often an agent looks whether something is due.
+pub const TICK: time::Duration = time::Duration::from_millis(100);
 
 /// Silence after which the other side takes the link for dead.
 pub const SILENCE: time::Duration = time::Duration::from_millis(1_600);
@@ -26,6 +29,8 @@
     pub cell: id::Cell,
     /// The owner's epoch.
     pub epoch: id::Epoch,
+    /// The owner's number for this link.
+    pub link: id::Link,
 }
 
 /// A message of the owner.
@@ -37,6 +42,8 @@
     pub epoch: id::Epoch,
     /// The life of the agent that the owner means.
     pub incarnation: id::Incarnation,
+    /// The link that carries the message.
+    pub link: id::Link,
     /// What it asks for.
     pub orders: Vec<order::Order>,
 }
@@ -48,6 +55,10 @@
     pub notices: Vec<notice::Notice>,
     /// Its load when the message left; rides on every message.
     pub load: notice::Load,
+    /// The link that carries the message.
+    pub link: id::Link,
+    /// Messages of the owner that came on this link so far; see [`delivery`](crate::decide::delivery).
+    pub received: u64,
 }
 
 /// The kind under which a message of the owner is counted.
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -14,7 +14,9 @@
 use jsonrpsee::core::client::{ClientT, Subscription, SubscriptionClientT};
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::middleware::rpc::{self, RpcServiceT};
-use jsonrpsee::server::{PendingSubscriptionSink, RpcModule, ServerConfig, ServerHandle};
+use jsonrpsee::server::{
+    PendingSubscriptionSink, PingConfig, RpcModule, ServerConfig, ServerHandle,
+};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use jsonrpsee::SubscriptionMessage;
 use serde::de::DeserializeOwned;
@@ -28,8 +30,18 @@
 /// Largest message, in bytes.
 const MAX_MESSAGE: u32 = 32 * 1024 * 1024;
 
-/// Messages that a client holds for a reader that is behind.
-const MAX_UNREAD: usize = 65_536;
+/// Messages that a client holds for a reader that is behind; a link with more is closed, and its
+/// successor asks by key for what was outstanding.
+pub const MAX_UNREAD: usize = 65_536;
+
+/// Messages that a server holds for a client that doesn't read; its writer waits beyond that.
+const MAX_UNSENT: u32 = 1_024;
+
+/// Most links of a server.
+const MAX_CONNECTIONS: u32 = 4_096;
+
+/// Pause between the pings by which a server finds connections that nobody is behind any more.
+const PING: time::Duration = time::Duration::from_secs(30);
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -58,14 +70,20 @@
     }
 }
 
-/// What a server does: how it greets, what it does with messages, how it groups its own.
+/// Groups the items of one link into one message, and counts it.
+pub type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
+
+/// Takes the hello of a new link and the way back, and tells how the link groups its items.
+/// Dropping the sender closes the link.
+pub type Greet<Hello, Item, Out> =
+    Arc<dyn Fn(Hello, Sender<Item>) -> Group<Item, Out> + Send + Sync>;
+
+/// What a server does with its links.
 pub struct Service<Hello, Item, In, Out> {
-    /// Takes the hello and the way back. Dropping the sender closes the link.
-    pub greet: Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>,
-    /// Takes one message of the client.
+    /// Takes a new link.
+    pub greet: Greet<Hello, Item, Out>,
+    /// Takes one message of a client.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the server, and counts it.
-    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
 }
 
 /// Binds a server of links.
@@ -82,7 +100,9 @@
     let cfg = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE)
         .max_response_body_size(MAX_MESSAGE)
-        .max_connections(4_096)
+        .max_connections(MAX_CONNECTIONS)
+        .set_message_buffer_capacity(MAX_UNSENT)
+        .enable_ws_ping(pings())
         .ws_only()
         .build();
     let inbox = inbox(service.take);
@@ -96,18 +116,12 @@
         .build(addr)
         .await?;
     let addr = server.local_addr()?;
-    let module = module(service.greet, service.group)?;
+    let module = module(service.greet)?;
     let handle = server.start(module);
     Ok(Server { addr, handle })
 }
 
-type Greet<Hello, Item> = Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>;
-type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
-
-fn module<Hello, Item, Out>(
-    greet: Greet<Hello, Item>,
-    group: Group<Item, Out>,
-) -> anyhow::Result<RpcModule<()>>
+fn module<Hello, Item, Out>(greet: Greet<Hello, Item, Out>) -> anyhow::Result<RpcModule<()>>
 where
     Hello: DeserializeOwned + Send + 'static,
     Item: Send + 'static,
@@ -116,14 +130,13 @@
     let mut module = RpcModule::new(());
     module.register_subscription("open", "up", "close", move |params, pending, _, _| {
         let greet = greet.clone();
-        let group = group.clone();
         let hello = params.one::<Hello>();
         async move {
             let Ok(hello) = hello else {
                 return;
             };
             let (tx, rx) = mpsc::unbounded_channel();
-            greet(hello, tx);
+            let group = greet(hello, tx);
             write_up(pending, rx, group).await;
         }
     })?;
@@ -155,6 +168,16 @@
     }
 }
 
+/// Guards against connections whose other end vanished without a word: the writer of such a link
+/// would wait, and its socket stay open, for ever. The links' own silence limits don't close the
+/// server's end, since only the client's process learns of them.
+fn pings() -> PingConfig {
+    PingConfig::new()
+        .ping_interval(PING)
+        .inactive_limit(2 * PING)
+        .max_failures(1)
+}
+
 type Deliver = Arc<dyn Fn(&str) + Send + Sync>;
 
 fn inbox<In: DeserializeOwned + 'static>(take: Arc<dyn Fn(In) + Send + Sync>) -> Deliver {
@@ -206,7 +229,7 @@
     /// Takes one message of the server.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
     /// Groups items into one message of the client, and counts it.
-    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    pub group: Group<Item, Out>,
     /// Runs once when the link is gone.
     pub closed: Box<dyn FnOnce() + Send>,
 }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -1,15 +1,18 @@
 //! Between entries: submissions passed to the owner of their cell, and the answers' way back.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time;
 
 use serde::{Deserialize, Serialize};
 
+use crate::class;
 use crate::count;
+use crate::decide::head;
 use crate::id;
 use crate::submission;
 
-/// Pause between heartbeats of an owner to another entry.
+/// Silence after which an owner sends a heartbeat to another entry.
 pub const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which the other entry takes the link for dead.
@@ -20,6 +23,8 @@
 pub struct Hello {
     /// Who connects.
     pub entry: id::EntryId,
+    /// Its number for this link.
+    pub link: id::Link,
 }
 
 /// A message to the owner.
@@ -27,6 +32,8 @@
 pub struct Down {
     /// The sender.
     pub entry: id::EntryId,
+    /// The link that carries the message.
+    pub link: id::Link,
     /// The sender's configuration version, so that news spreads on messages.
     pub config: id::Version,
     /// What is passed on.
@@ -41,19 +48,41 @@
     Submit(u64, Box<submission::Submission>),
     /// A cancellation.
     Cancel(u64, id::JobKey),
-    /// Nothing else was said for a while.
+    /// The sender can't read the table, and wants the configuration if it is newer than this.
+    WantConfig(id::Version),
+    /// The configuration that the owner wanted.
+    Config(Box<class::Versioned>),
+    /// Nothing else was said for a while, or the sender has a newer configuration.
     Heartbeat,
 }
 
 /// A message of the owner.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Up {
+    /// The sender.
+    pub entry: id::EntryId,
+    /// The link that carries the message.
+    pub link: id::Link,
+    /// Messages that came on this link so far; see [`delivery`](crate::decide::delivery).
+    pub received: u64,
     /// The owner's configuration version.
     pub config: id::Version,
+    /// What the owner knows of the watched rows, if it has read them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub head: Option<Head>,
     /// What it has to say.
     pub items: Vec<Returned>,
 }
 
+/// What an owner tells of the watched rows, so that others need not read them.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Head {
+    /// Stands for the rows as the owner read them.
+    pub digest: head::Digest,
+    /// Milliseconds since that was last known to be so.
+    pub age_ms: u64,
+}
+
 /// One thing that an owner returns.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -62,24 +91,32 @@
     Ending(u64, Arc<submission::Ending>),
     /// The receiver isn't the owner, or no longer; the sender looks again.
     NotOwner(u64),
-    /// Nothing else was said for a while.
+    /// The sender can't read the table, and wants the configuration if it is newer than this.
+    WantConfig(id::Version),
+    /// The configuration that the receiver wanted.
+    Config(Box<class::Versioned>),
+    /// The configuration versions of the entries that the sender has heard.
+    Versions(BTreeMap<id::EntryId, id::Version>),
+    /// Nothing else was said for a while, or the watched rows have changed.
     Heartbeat,
 }
 
 /// The kind under which a message to the owner is counted.
 pub fn kind_down(items: &[Passed]) -> count::Kind {
-    if items.iter().all(|item| matches!(item, Passed::Heartbeat)) {
-        count::Kind::Control
-    } else {
+    let forwards = |item: &Passed| matches!(item, Passed::Submit(..) | Passed::Cancel(..));
+    if items.iter().any(forwards) {
         count::Kind::Forward
+    } else {
+        count::Kind::Control
     }
 }
 
 /// The kind under which a message of the owner is counted.
 pub fn kind_up(items: &[Returned]) -> count::Kind {
-    if items.iter().all(|item| matches!(item, Returned::Heartbeat)) {
-        count::Kind::Control
-    } else {
+    let forwards = |item: &Returned| matches!(item, Returned::Ending(..) | Returned::NotOwner(_));
+    if items.iter().any(forwards) {
         count::Kind::Forward
+    } else {
+        count::Kind::Control
     }
 }
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -11,8 +11,23 @@
 /// The row of the configuration; its value is a [`class::Versioned`](crate::class::Versioned).
 pub const CONFIG: &str = "config";
 
+/// Prefix of the few small rows that every entry watches with one scan.
+pub const HEAD: &str = "head/";
+
+/// The row that tells the newest version of the configuration; its value is the bare number.
+///
+/// It is written by the same transaction as [`CONFIG`], so that watching costs no read of the
+/// whole document.
+pub const CONFIG_VERSION: &str = "head/config";
+
 /// Prefix of the cells' rows.
-pub const CELLS: &str = "cell/";
+pub const CELLS: &str = "head/cell/";
+
+/// The row that every join and leave of a cell's agents changes, so that an owner reads the
+/// agents' rows only where something changed.
+pub fn members(cell: id::Cell) -> CompactString {
+    format_compact!("head/members/{cell:05}")
+}
 
 /// The row that says who owns a cell.
 pub fn cell(cell: id::Cell) -> CompactString {
