Give each process a budget of the platform's reads and writes

Cause: nothing bounded what one process asks of the platform; a fault in one could have taken the table from all.

Change: a token bucket in front of the platform's client; what finds no room within the client's time limit is not sent and says so. Waits and refusals are shown in the metrics. Acknowledgements wait up to 3 s for an order to ride with.

--- a/src/count.rs
+++ b/src/count.rs
@@ -46,11 +46,25 @@
     "object",
 ];
 
+/// What an operation takes from the budget towards the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Usage {
+    /// A read.
+    Read,
+    /// A write.
+    Write,
+}
+
+/// Names of the usages, in the order of the enum.
+pub const USAGES: [&str; 2] = ["read", "write"];
+
 /// The counters of one process; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Messages {
     sent: Arc<[AtomicU64; 10]>,
     bytes: Arc<AtomicU64>,
+    delayed: Arc<[AtomicU64; 2]>,
+    refused: Arc<[AtomicU64; 2]>,
 }
 
 impl Messages {
@@ -69,6 +83,26 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
+    /// Counts an operation that waited for the platform's budget.
+    pub fn add_delayed(&self, usage: Usage) {
+        self.delayed[usage as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an operation that wasn't sent, since the platform's budget had no room in time.
+    pub fn add_refused(&self, usage: Usage) {
+        self.refused[usage as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Operations that waited for the platform's budget, by usage.
+    pub fn delayed(&self) -> BTreeMap<&'static str, u64> {
+        by_usage(&self.delayed)
+    }
+
+    /// Operations that weren't sent for lack of budget, by usage.
+    pub fn refused(&self) -> BTreeMap<&'static str, u64> {
+        by_usage(&self.refused)
+    }
+
     /// The count of one kind.
     pub fn get(&self, kind: Kind) -> u64 {
         self.sent[kind as usize].load(Ordering::Relaxed)
@@ -84,3 +118,12 @@
             .collect()
     }
 }
+
+fn by_usage(counts: &[AtomicU64; 2]) -> BTreeMap<&'static str, u64> {
+    let load = |n: &AtomicU64| n.load(Ordering::Relaxed);
+    USAGES
+        .iter()
+        .copied()
+        .zip(counts.iter().map(load))
+        .collect()
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! The daemons feed these parts; tests, the model checker and the measurements drive the same code.
 
 pub mod action;
+pub mod budget;
 pub mod config;
 pub mod delivery;
 pub mod estimate;
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -32,7 +32,7 @@
 const TICK: time::Duration = time::Duration::from_millis(25);
 
 /// Longest that acknowledgements wait for an order to ride with.
-const MAX_LAZY: time::Duration = time::Duration::from_secs(1);
+const MAX_LAZY: time::Duration = time::Duration::from_secs(3);
 
 /// Pauses between attempts to read the claims, growing from the first to the second.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(50);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Pages of metrics in the Prometheus text format, by `prometheus-client`.
 
+use std::collections::BTreeMap;
+
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -51,6 +53,14 @@
         let values = counts.map(|(kind, n)| (kind.to_owned(), n as i64));
         let help = "Messages between processes, by kind, at the sender";
         self.gauges("messages", help, "kind", values);
+        let owned = |counts: BTreeMap<&'static str, u64>| {
+            let pairs = counts.into_iter();
+            pairs.map(|(usage, n)| (usage.to_owned(), n as i64))
+        };
+        let help = "Operations that waited for the platform's budget";
+        self.gauges("platform_delayed", help, "usage", owned(messages.delayed()));
+        let help = "Operations not sent for lack of the platform's budget";
+        self.gauges("platform_refused", help, "usage", owned(messages.refused()));
     }
 
     /// The page.
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -6,7 +6,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::count;
+use crate::decide::budget;
 use crate::wire::http;
 
 /// Largest answer that the table or the object store may give, in bytes.
@@ -158,13 +159,27 @@
     pub key: CompactString,
 }
 
-/// Connects to the platform at `addr` (host and port). Each call takes `limit` at the longest.
+/// Connects to the platform at `addr` (host and port). Each call takes `limit` at the longest,
+/// beside its wait for the budget of [`budget::ENTRY`].
 pub fn connect(addr: &str, limit: time::Duration, messages: count::Messages) -> Platform {
+    connect_within(addr, limit, messages, budget::ENTRY)
+}
+
+/// Connects as [`connect`] does, with another budget.
+pub fn connect_within(
+    addr: &str,
+    limit: time::Duration,
+    messages: count::Messages,
+    limits: budget::Limits,
+) -> Platform {
+    let now = time::Instant::now();
     let client = Arc::new(Remote {
         http: http::open(MAX_ANSWER),
         base: format!("http://{addr}"),
         limit,
         messages,
+        reads: Mutex::new(budget::Budget::open(now, limits.reads)),
+        writes: Mutex::new(budget::Budget::open(now, limits.writes)),
     });
     Platform {
         table: remote_table(&client),
@@ -226,9 +241,32 @@
     base: String,
     limit: time::Duration,
     messages: count::Messages,
+    reads: Mutex<budget::Budget>,
+    writes: Mutex<budget::Budget>,
 }
 
 impl Remote {
+    /// Waits until the budget has room. What doesn't get room in time is not sent.
+    async fn afford(&self, usage: count::Usage) -> Result<(), Error> {
+        let budget = match usage {
+            count::Usage::Read => &self.reads,
+            count::Usage::Write => &self.writes,
+        };
+        let wait = {
+            let mut budget = budget.lock().expect("the budget is whole");
+            budget.book(time::Instant::now(), self.limit)
+        };
+        let Some(wait) = wait else {
+            self.messages.add_refused(usage);
+            return Err(Error::NotDone);
+        };
+        if !wait.is_zero() {
+            self.messages.add_delayed(usage);
+            tokio::time::sleep(wait).await;
+        }
+        Ok(())
+    }
+
     async fn table<T: DeserializeOwned>(
         &self,
         verb: &str,
@@ -237,6 +275,11 @@
     ) -> Result<T, Error> {
         let body = serde_json::to_vec(body).map_err(|_| Error::NotDone)?;
         let uri = format!("{}/table/{verb}", self.base);
+        let usage = match kind {
+            count::Kind::TableWrite => count::Usage::Write,
+            _ => count::Usage::Read,
+        };
+        self.afford(usage).await?;
         self.messages.add(kind, 2);
         let call = http::Call::new(Method::POST, uri, body);
         let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
@@ -253,6 +296,12 @@
         body: Bytes,
     ) -> Result<Option<Bytes>, Error> {
         let uri = format!("{}/objects/{name}", self.base);
+        let usage = if method == Method::GET {
+            count::Usage::Read
+        } else {
+            count::Usage::Write
+        };
+        self.afford(usage).await?;
         self.messages.add(count::Kind::Object, 2);
         let call = http::Call::new(method, uri, body);
         let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
