--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -283,9 +283,7 @@
         self.messages.add(kind, 2);
         let call = http::Call::new(Method::POST, uri, body);
         let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
-        if !answer.status.is_success() {
-            return Err(Error::NotDone);
-        }
+        refuse(answer.status)?;
         serde_json::from_slice(&answer.body).map_err(|_| Error::Unknown)
     }
 
@@ -308,13 +306,25 @@
         if answer.status.as_u16() == 404 {
             return Ok(None);
         }
-        if !answer.status.is_success() {
-            return Err(Error::NotDone);
-        }
+        refuse(answer.status)?;
         Ok(Some(answer.body))
     }
 }
 
+/// Tells what a status means for the operation.
+///
+/// Guards against a gateway between here and the platform that gives up on an operation which
+/// still takes effect: only a mistaken request, 429 and 503 say that nothing was done.
+fn refuse(status: StatusCode) -> Result<(), Error> {
+    if status.is_success() {
+        Ok(())
+    } else if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        Err(Error::NotDone)
+    } else {
+        Err(Error::Unknown)
+    }
+}
+
 fn from_http(error: http::Error) -> Error {
     match error {
         http::Error::NotSent => Error::NotDone,
