--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -86,6 +86,11 @@
         self.http.addr()
     }
 
+    /// Where other entries connect.
+    pub fn peer_addr(&self) -> net::SocketAddr {
+        self.peers.addr()
+    }
+
     /// Its id.
     pub fn id(&self) -> &id::EntryId {
         &self.core.cfg.id
--- /dev/null
+++ b/tests/contract_caller.rs
@@ -0,0 +1,163 @@
+//! The contract towards callers: every bad input gets its numbered code, says truly whether it
+//! ran, and leaves an entry that serves the next caller.
+
+mod support;
+
+use std::path::Path;
+
+use serde::Deserialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use support::memory::Memory;
+use support::path;
+
+#[derive(Deserialize)]
+struct Table {
+    case: Vec<Case>,
+}
+
+#[derive(Deserialize)]
+struct Case {
+    name: String,
+    #[serde(default = "post")]
+    method: String,
+    #[serde(default = "jobs")]
+    path: String,
+    key: Option<String>,
+    #[serde(default)]
+    body: String,
+    #[serde(default = "once")]
+    repeat: usize,
+    /// A submission under the same key that comes first and completes.
+    first: Option<String>,
+    #[serde(default)]
+    manner: Manner,
+    status: Option<u16>,
+    code: Option<String>,
+    #[serde(default)]
+    not_run: bool,
+}
+
+/// How the caller behaves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Manner {
+    /// Sends everything and waits.
+    #[default]
+    Whole,
+    /// Sends half of the body and closes its side.
+    HalfClosed,
+    /// Sends half of the body and nothing more.
+    Stalled,
+    /// Sends everything and is gone.
+    Gone,
+}
+
+fn post() -> String {
+    "POST".to_owned()
+}
+
+fn jobs() -> String {
+    "/v1/jobs".to_owned()
+}
+
+fn once() -> usize {
+    1
+}
+
+fn request(case: &Case, body: &str) -> (String, String) {
+    let Case { method, path, .. } = case;
+    let key = case.key.as_ref();
+    let key = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: x\r\n{key}Content-Length: {length}\r\nConnection: close\r\n\r\n"
+    );
+    (head, body.to_owned())
+}
+
+/// Sends a request in a caller's manner; returns the status and the body of the answer.
+async fn exchange(addr: std::net::SocketAddr, case: &Case, body: &str) -> Option<(u16, String)> {
+    let (head, body) = request(case, body);
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let half = &body.as_bytes()[..body.len() / 2];
+    match case.manner {
+        // A server that has refused already may not read the rest.
+        Manner::Whole => drop(stream.write_all(body.as_bytes()).await),
+        Manner::HalfClosed => {
+            stream.write_all(half).await.unwrap();
+            stream.shutdown().await.unwrap();
+        }
+        Manner::Stalled => stream.write_all(half).await.unwrap(),
+        Manner::Gone => {
+            stream.write_all(body.as_bytes()).await.unwrap();
+            return None;
+        }
+    }
+    let mut read = Vec::new();
+    let _ = stream.read_to_end(&mut read).await;
+    let text = String::from_utf8(read).unwrap();
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let (_, body) = text.split_once("\r\n\r\n")?;
+    Some((status, body.to_owned()))
+}
+
+const GOOD: &str =
+    r#"{"customer":"merredin","class":"check","tasks":[{"input":{"ms":1,"value":7}}]}"#;
+
+fn good(key: String) -> Case {
+    Case {
+        name: "a good job".to_owned(),
+        method: post(),
+        path: jobs(),
+        key: Some(key),
+        body: GOOD.to_owned(),
+        repeat: 1,
+        first: None,
+        manner: Manner::Whole,
+        status: Some(200),
+        code: None,
+        not_run: false,
+    }
+}
+
+async fn check(path: &path::Path, case: &Case) {
+    let addr = path.entry.http_addr();
+    if let Some(first) = &case.first {
+        let (status, body) = exchange(addr, case, first).await.unwrap();
+        assert_eq!(status, 200, "{}: {body}", case.name);
+    }
+    let started = path.truth.tasks_started();
+    let answer = exchange(addr, case, &case.body.repeat(case.repeat)).await;
+    let Some((status, body)) = answer else {
+        assert_eq!(case.status, None, "{}: no answer", case.name);
+        return;
+    };
+    assert_eq!(Some(status), case.status, "{}: {body}", case.name);
+    let Some(code) = &case.code else {
+        return;
+    };
+    let refusal: serde_json::Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(refusal["code"], code.as_str(), "{}: {body}", case.name);
+    assert_eq!(refusal["not_run"], case.not_run, "{}: {body}", case.name);
+    assert_eq!(path.truth.tasks_started(), started, "{}: ran", case.name);
+}
+
+fn run(file: &Path) -> datatest_stable::Result<()> {
+    let table: Table = toml::from_str(&std::fs::read_to_string(file)?)?;
+    support::block_on(async {
+        let path = path::open(&Memory::open()).await;
+        for (number, case) in table.case.iter().enumerate() {
+            check(&path, case).await;
+            check(&path, &good(format!("after-{number}"))).await;
+        }
+        assert_eq!(path.truth.started_twice(), Vec::new());
+    });
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/contracts", pattern = r"^caller\.toml$" },
+}
--- a/tests/support/path.rs
+++ b/tests/support/path.rs
@@ -43,7 +43,10 @@
             target_ms,
             max_tasks: 4,
         }],
-        quotas: Vec::new(),
+        quotas: vec![class::Quota {
+            customer: "york".into(),
+            waiting_tasks: 2,
+        }],
     }
 }
 
