--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -134,13 +134,11 @@
     link::Service {
         greet: Arc::new(move |hello: agent::Hello, tx| {
             greeting.greet(&hello, tx);
-            let (work, messages) = (greeting.clone(), messages.clone());
-            Arc::new(move |notices: Vec<notice::Notice>| {
-                messages.add(agent::kind_up(&notices), 1);
-                work.group(hello.link, notices)
-            })
+            let work = greeting.clone();
+            Arc::new(move |notices: Vec<notice::Notice>| work.group(hello.link, notices))
         }),
         take: Arc::new(move |down| taking.take(down)),
+        sent: Arc::new(move |up, bytes| messages.sent(agent::kind_up(&up.notices), bytes)),
     }
 }
 
--- a/src/entry/agent_link.rs
+++ b/src/entry/agent_link.rs
@@ -142,6 +142,10 @@
     let peer = link::Peer {
         take: taker(cell.clone(), id.clone(), sender.clone()),
         group: grouper(strong.scope(), sender.clone()),
+        sent: {
+            let messages = strong.scope().messages.clone();
+            Arc::new(move |down, bytes| messages.sent(agent::kind_down(&down.orders), bytes))
+        },
         closed: {
             let closed = closed.clone();
             Box::new(move || closed.notify_one())
@@ -163,9 +167,8 @@
 }
 
 fn grouper(scope: &Scope, sender: Arc<LinkSender>) -> link::Group<Order, agent::Down> {
-    let (cell, epoch, messages) = (scope.cell, scope.epoch, scope.messages.clone());
+    let (cell, epoch) = (scope.cell, scope.epoch);
     Arc::new(move |orders| {
-        messages.add(agent::kind_down(&orders), 1);
         sender.delivery().send(time::Instant::now());
         agent::Down {
             link: sender.link,
--- a/src/entry/inward.rs
+++ b/src/entry/inward.rs
@@ -84,20 +84,20 @@
 ) -> link::Service<peer::Hello, Returned, peer::Down, peer::Up> {
     let (greeting, taking) = (door.clone(), door.clone());
     link::Service {
-        greet: Arc::new(move |hello, tx| greet(&greeting, &entry, &messages, hello, tx)),
+        greet: Arc::new(move |hello, tx| greet(&greeting, &entry, hello, tx)),
         take: Arc::new(move |down: peer::Down| {
             let inward = taking.received(&down.entry, down.link);
             if let (Some(core), Some(inward)) = (taking.core(), inward) {
                 take(&core, &inward, down);
             }
         }),
+        sent: Arc::new(move |up, bytes| messages.sent(peer::kind_up(&up.items), bytes)),
     }
 }
 
 fn greet(
     door: &Door,
     entry: &id::EntryId,
-    messages: &count::Messages,
     hello: peer::Hello,
     tx: link::Sender<Returned>,
 ) -> link::Group<Returned, peer::Up> {
@@ -111,10 +111,9 @@
     let _ = inward.tx.send(Returned::Heartbeat);
     door.links().insert(hello.entry.clone(), inward.clone());
     tokio::spawn(heartbeat(door.clone(), hello.entry, hello.link));
-    let (door, entry, messages) = (door.clone(), entry.clone(), messages.clone());
+    let (door, entry) = (door.clone(), entry.clone());
     let (received, spoke) = (inward.received, inward.spoke);
     Arc::new(move |items: Vec<Returned>| {
-        messages.add(peer::kind_up(&items), 1);
         *spoke.lock().expect("the time is whole") = time::Instant::now();
         let core = door.core();
         peer::Up {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -341,7 +341,6 @@
     let ends = link::Peer {
         take: Arc::new(move |up| taking.take(&weak, up)),
         group: Arc::new(move |items: Vec<Passed>| {
-            messages.add(peer::kind_down(&items), 1);
             let mut delivery = connection.delivery.lock().expect("the delivery is whole");
             delivery.send(time::Instant::now());
             peer::Down {
@@ -351,6 +350,7 @@
                 items,
             }
         }),
+        sent: Arc::new(move |down, bytes| messages.sent(peer::kind_down(&down.items), bytes)),
         closed: Box::new(move || {
             if closing.connection().link == number {
                 closing.lose();
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -44,6 +44,9 @@
 /// Pause between the pings by which a server finds connections that nobody is behind any more.
 const PING: time::Duration = time::Duration::from_secs(30);
 
+/// Bytes that JSON-RPC and the WebSocket frame add to a message, about.
+const ENVELOPE: usize = 90;
+
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -71,7 +74,10 @@
     }
 }
 
-/// Groups the items of one link into one message, and counts it.
+/// Counts a message that leaves, with its bytes.
+pub type Sent<Out> = Arc<dyn Fn(&Out, usize) + Send + Sync>;
+
+/// Groups the items of one link into one message.
 pub type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
 
 /// Takes the hello of a new link and the way back, and tells how the link groups its items.
@@ -85,6 +91,8 @@
     pub greet: Greet<Hello, Item, Out>,
     /// Takes one message of a client.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
+    /// Counts a message of the server that leaves, with its bytes.
+    pub sent: Sent<Out>,
 }
 
 /// Binds a server of links.
@@ -117,12 +125,31 @@
         .build(addr)
         .await?;
     let addr = server.local_addr()?;
-    let module = module(service.greet)?;
+    let module = module(service.greet, service.sent)?;
     let handle = server.start(module);
     Ok(Server { addr, handle })
 }
 
-fn module<Hello, Item, Out>(greet: Greet<Hello, Item, Out>) -> anyhow::Result<RpcModule<()>>
+/// Turns what waits into one message on the wire.
+struct Outbox<Item, Out> {
+    group: Group<Item, Out>,
+    sent: Sent<Out>,
+}
+
+impl<Item, Out: Serialize> Outbox<Item, Out> {
+    /// Groups and encodes items, and counts the message.
+    fn encode(&self, items: Vec<Item>) -> serde_json::Result<Box<value::RawValue>> {
+        let message = (self.group)(items);
+        let raw = value::to_raw_value(&message)?;
+        (self.sent)(&message, raw.get().len() + ENVELOPE);
+        Ok(raw)
+    }
+}
+
+fn module<Hello, Item, Out>(
+    greet: Greet<Hello, Item, Out>,
+    sent: Sent<Out>,
+) -> anyhow::Result<RpcModule<()>>
 where
     Hello: DeserializeOwned + Send + 'static,
     Item: Send + 'static,
@@ -131,6 +158,7 @@
     let mut module = RpcModule::new(());
     module.register_subscription("open", "up", "close", move |params, pending, _, _| {
         let greet = greet.clone();
+        let sent = sent.clone();
         let hello = params.one::<Hello>();
         async move {
             let Ok(hello) = hello else {
@@ -138,7 +166,7 @@
             };
             let (tx, rx) = mpsc::unbounded_channel();
             let group = greet(hello, tx);
-            write_up(pending, rx, group).await;
+            write_up(pending, rx, Outbox { group, sent }).await;
             // Without this the client would go on with a link that nobody serves any more.
             Err(core::SubscriptionError::from("the link is closed"))
         }
@@ -149,7 +177,7 @@
 async fn write_up<Item, Out: Serialize>(
     pending: PendingSubscriptionSink,
     mut rx: Receiver<Item>,
-    group: Group<Item, Out>,
+    outbox: Outbox<Item, Out>,
 ) {
     let Ok(sink) = pending.accept().await else {
         return;
@@ -162,7 +190,7 @@
             },
             () = sink.closed() => return,
         }
-        let Ok(raw) = value::to_raw_value(&group(items)) else {
+        let Ok(raw) = outbox.encode(items) else {
             return;
         };
         if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
@@ -231,8 +259,10 @@
 pub struct Peer<Item, In, Out> {
     /// Takes one message of the server.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the client, and counts it.
+    /// Groups items into one message of the client.
     pub group: Group<Item, Out>,
+    /// Counts a message of the client that leaves, with its bytes.
+    pub sent: Sent<Out>,
     /// Runs once when the link is gone.
     pub closed: Box<dyn FnOnce() + Send>,
 }
@@ -264,11 +294,15 @@
         .await?;
     let mut params = ArrayParams::new();
     params.insert(hello)?;
+    let outbox = Outbox {
+        group: peer.group,
+        sent: peer.sent,
+    };
     let subscription: Subscription<In> = client.subscribe("open", params, "close").await?;
     tokio::spawn(async move {
         tokio::select! {
             () = read(subscription, peer.take) => {}
-            () = write_down(client, rx, peer.group) => {}
+            () = write_down(client, rx, outbox) => {}
         }
         (peer.closed)();
     });
@@ -311,7 +345,7 @@
 async fn write_down<Item, Out: Serialize>(
     client: WsClient,
     mut rx: Receiver<Item>,
-    group: Group<Item, Out>,
+    outbox: Outbox<Item, Out>,
 ) {
     loop {
         let mut items = Vec::new();
@@ -319,7 +353,7 @@
             return;
         }
         let mut params = ArrayParams::new();
-        let inserted = params.insert(group(items));
+        let inserted = outbox.encode(items).and_then(|raw| params.insert(raw));
         if inserted.is_err() || client.notification("down", params).await.is_err() {
             return;
         }
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -22,6 +22,9 @@
 /// Largest answer that the table or the object store may give, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
+/// Bytes that HTTP's request and status lines and headers add to an exchange, about.
+const HEADERS: usize = 260;
+
 /// Counts the changes of one row; 0 means that the row is absent.
 pub type Revision = u64;
 
@@ -281,8 +284,11 @@
         };
         self.afford(usage).await?;
         self.messages.add(kind, 2);
+        let sent = body.len();
         let call = http::Call::new(Method::POST, uri, body);
         let answer = self.http.call(call, self.limit).await.map_err(from_http)?;
+        let bytes = sent + answer.body.len() + HEADERS;
+        self.messages.add_bytes(kind, bytes as u64);
         refuse(answer.status)?;
         serde_json::from_slice(&answer.body).map_err(|_| Error::Unknown)
     }
--- a/tests/contract_link_limits.rs
+++ b/tests/contract_link_limits.rs
@@ -32,6 +32,7 @@
             })
         }),
         take: Arc::new(|_: Vec<u64>| {}),
+        sent: Arc::new(|_, _| {}),
     };
     let server = link::bind(path::any(), service).await.unwrap();
     Host { server, tx, left }
@@ -49,6 +50,7 @@
     let peer = link::Peer {
         take: Arc::new(take),
         group: Arc::new(|items: Vec<u64>| items),
+        sent: Arc::new(|_, _| {}),
         closed: Box::new(move || closing.store(true, Ordering::SeqCst)),
     };
     let addr = host.server.addr().to_string();
--- a/tests/contract_links.rs
+++ b/tests/contract_links.rs
@@ -72,6 +72,7 @@
             leaving.send(()).unwrap();
             messages.remove(0)
         }),
+        sent: Arc::new(|_, _| {}),
         closed: Box::new(move || closing.store(true, Ordering::SeqCst)),
     };
     let hello: Value = serde_json::from_str(hello).unwrap();
