--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -131,17 +131,20 @@
     work: &Arc<Work>,
     messages: count::Messages,
 ) -> link::Service<agent::Hello, notice::Notice, agent::Down, agent::Up> {
-    let (greeting, taking, grouping) = (work.clone(), work.clone(), work.clone());
+    let (greeting, taking) = (work.clone(), work.clone());
     link::Service {
-        greet: Arc::new(move |hello, tx| greeting.greet(&hello, tx)),
+        greet: Arc::new(move |hello: agent::Hello, tx| {
+            greeting.greet(&hello, tx);
+            let work = greeting.clone();
+            Arc::new(move |notices: Vec<notice::Notice>| work.group(hello.link, notices))
+        }),
         take: Arc::new(move |down| taking.take(down)),
-        group: Arc::new(move |notices| grouping.group(notices)),
         sent: Arc::new(move |up, bytes| messages.sent(agent::kind_up(&up.notices), bytes)),
     }
 }
 
 async fn tick(work: Arc<Work>) {
-    let mut interval = tokio::time::interval(agent::HEARTBEAT);
+    let mut interval = tokio::time::interval(agent::TICK);
     loop {
         interval.tick().await;
         work.tick();
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,9 +3,12 @@
 //! The daemons feed these parts; tests, the model checker and the measurements drive the same code.
 
 pub mod action;
+pub mod budget;
 pub mod config;
+pub mod delivery;
 pub mod estimate;
 pub mod fleet;
+pub mod head;
 pub mod inherit;
 pub mod job;
 pub mod ledger;
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -18,6 +18,10 @@
     pub entry: id::EntryId,
     /// The configuration in force here; 0 before any was read.
     pub config_version: id::Version,
+    /// The versions of the other entries, as last heard.
+    pub other_versions: BTreeMap<id::EntryId, id::Version>,
+    /// Entries whose version is behind the newest that is known here.
+    pub stragglers: Vec<id::EntryId>,
     /// Whether it stops.
     pub draining: bool,
     /// Submissions whose callers wait here.
@@ -80,9 +84,12 @@
 /// `GET /v1/status`.
 pub fn status(core: &Core) -> Status {
     let places = core.places().into_iter().enumerate();
+    let versions = core.peers.versions();
     Status {
         entry: core.cfg.id.clone(),
         config_version: core.config.version(),
+        stragglers: stragglers(core, &versions),
+        other_versions: versions,
         draining: core.is_draining(),
         in_flight: core.in_flight(),
         cells: places
@@ -92,6 +99,15 @@
     }
 }
 
+fn stragglers(core: &Core, others: &BTreeMap<id::EntryId, id::Version>) -> Vec<id::EntryId> {
+    let newest = core.config.newest_known();
+    let own = (&core.cfg.id, &core.config.version());
+    let all = others.iter().chain([own]);
+    all.filter(|(_, version)| **version < newest)
+        .map(|(entry, _)| entry.clone())
+        .collect()
+}
+
 fn cell_status(core: &Core, cell: id::Cell, place: &Place) -> CellStatus {
     let (owner, epoch, owned) = match place {
         Place::Nowhere => (id::EntryId::default(), 0, None),
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -11,10 +11,13 @@
 use std::sync::Arc;
 use std::time;
 
+use jsonrpsee::core;
 use jsonrpsee::core::client::{ClientT, Subscription, SubscriptionClientT};
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::middleware::rpc::{self, RpcServiceT};
-use jsonrpsee::server::{PendingSubscriptionSink, RpcModule, ServerConfig, ServerHandle};
+use jsonrpsee::server::{
+    PendingSubscriptionSink, PingConfig, RpcModule, ServerConfig, ServerHandle,
+};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use jsonrpsee::SubscriptionMessage;
 use serde::de::DeserializeOwned;
@@ -28,8 +31,18 @@
 /// Largest message, in bytes.
 const MAX_MESSAGE: u32 = 32 * 1024 * 1024;
 
-/// Messages that a client holds for a reader that is behind.
-const MAX_UNREAD: usize = 65_536;
+/// Messages that a client holds for a reader that is behind; a link with more is closed, and its
+/// successor asks by key for what was outstanding.
+pub const MAX_UNREAD: usize = 65_536;
+
+/// Messages that a server holds for a client that doesn't read; its writer waits beyond that.
+const MAX_UNSENT: u32 = 1_024;
+
+/// Most links of a server.
+const MAX_CONNECTIONS: u32 = 4_096;
+
+/// Pause between the pings by which a server finds connections that nobody is behind any more.
+const PING: time::Duration = time::Duration::from_secs(30);
 
 /// Bytes that JSON-RPC and the WebSocket frame add to a message, about.
 const ENVELOPE: usize = 90;
@@ -61,16 +74,25 @@
     }
 }
 
-/// What a server does: how it greets, what it does with messages, how it groups its own.
+/// Counts a message that leaves, with its bytes.
+pub type Sent<Out> = Arc<dyn Fn(&Out, usize) + Send + Sync>;
+
+/// Groups the items of one link into one message.
+pub type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
+
+/// Takes the hello of a new link and the way back, and tells how the link groups its items.
+/// Dropping the sender closes the link.
+pub type Greet<Hello, Item, Out> =
+    Arc<dyn Fn(Hello, Sender<Item>) -> Group<Item, Out> + Send + Sync>;
+
+/// What a server does with its links.
 pub struct Service<Hello, Item, In, Out> {
-    /// Takes the hello and the way back. Dropping the sender closes the link.
-    pub greet: Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>,
-    /// Takes one message of the client.
+    /// Takes a new link.
+    pub greet: Greet<Hello, Item, Out>,
+    /// Takes one message of a client.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the server.
-    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
     /// Counts a message of the server that leaves, with its bytes.
-    pub sent: Arc<dyn Fn(&Out, usize) + Send + Sync>,
+    pub sent: Sent<Out>,
 }
 
 /// Binds a server of links.
@@ -87,7 +109,9 @@
     let cfg = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE)
         .max_response_body_size(MAX_MESSAGE)
-        .max_connections(4_096)
+        .max_connections(MAX_CONNECTIONS)
+        .set_message_buffer_capacity(MAX_UNSENT)
+        .enable_ws_ping(pings())
         .ws_only()
         .build();
     let inbox = inbox(service.take);
@@ -101,30 +125,15 @@
         .build(addr)
         .await?;
     let addr = server.local_addr()?;
-    let outbox = Outbox {
-        group: service.group,
-        sent: service.sent,
-    };
-    let module = module(service.greet, outbox)?;
+    let module = module(service.greet, service.sent)?;
     let handle = server.start(module);
     Ok(Server { addr, handle })
 }
 
-type Greet<Hello, Item> = Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>;
-
 /// Turns what waits into one message on the wire.
 struct Outbox<Item, Out> {
-    group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
-    sent: Arc<dyn Fn(&Out, usize) + Send + Sync>,
-}
-
-impl<Item, Out> Clone for Outbox<Item, Out> {
-    fn clone(&self) -> Self {
-        Outbox {
-            group: self.group.clone(),
-            sent: self.sent.clone(),
-        }
-    }
+    group: Group<Item, Out>,
+    sent: Sent<Out>,
 }
 
 impl<Item, Out: Serialize> Outbox<Item, Out> {
@@ -138,8 +147,8 @@
 }
 
 fn module<Hello, Item, Out>(
-    greet: Greet<Hello, Item>,
-    outbox: Outbox<Item, Out>,
+    greet: Greet<Hello, Item, Out>,
+    sent: Sent<Out>,
 ) -> anyhow::Result<RpcModule<()>>
 where
     Hello: DeserializeOwned + Send + 'static,
@@ -149,15 +158,17 @@
     let mut module = RpcModule::new(());
     module.register_subscription("open", "up", "close", move |params, pending, _, _| {
         let greet = greet.clone();
-        let outbox = outbox.clone();
+        let sent = sent.clone();
         let hello = params.one::<Hello>();
         async move {
             let Ok(hello) = hello else {
-                return;
+                return Err(core::SubscriptionError::from("the hello can't be read"));
             };
             let (tx, rx) = mpsc::unbounded_channel();
-            greet(hello, tx);
-            write_up(pending, rx, outbox).await;
+            let group = greet(hello, tx);
+            write_up(pending, rx, Outbox { group, sent }).await;
+            // Without this the client would go on with a link that nobody serves any more.
+            Err(core::SubscriptionError::from("the link is closed"))
         }
     })?;
     Ok(module)
@@ -188,6 +199,16 @@
     }
 }
 
+/// Guards against connections whose other end vanished without a word: the writer of such a link
+/// would wait, and its socket stay open, for ever. The links' own silence limits don't close the
+/// server's end, since only the client's process learns of them.
+fn pings() -> PingConfig {
+    PingConfig::new()
+        .ping_interval(PING)
+        .inactive_limit(2 * PING)
+        .max_failures(1)
+}
+
 type Deliver = Arc<dyn Fn(&str) + Send + Sync>;
 
 fn inbox<In: DeserializeOwned + 'static>(take: Arc<dyn Fn(In) + Send + Sync>) -> Deliver {
@@ -239,9 +260,9 @@
     /// Takes one message of the server.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
     /// Groups items into one message of the client.
-    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    pub group: Group<Item, Out>,
     /// Counts a message of the client that leaves, with its bytes.
-    pub sent: Arc<dyn Fn(&Out, usize) + Send + Sync>,
+    pub sent: Sent<Out>,
     /// Runs once when the link is gone.
     pub closed: Box<dyn FnOnce() + Send>,
 }
