Judge slow and hanging workers by how far forecasts scatter, and see a flood sooner

The dominant customer counted as light for its first second, long enough to be promised more than it could get.

Change: a run time tells against a worker only beyond 4.5 standard errors of its peers' own scatter, a stopped task beyond 3.5. The span over which first rates are worked out falls from 1 s to 0.25 s. A load that differs only in the number of running tasks no longer moves the agent in the lists.

--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -16,7 +16,7 @@
 pub const REFRESH: time::Duration = time::Duration::from_millis(100);
 
 /// Shortest time over which a rate is worked out, so that the first job isn't taken for a flood.
-const MIN_SPAN: f64 = 1.0;
+const MIN_SPAN: f64 = 0.25;
 
 /// How many times more the next customer must offer for those below it to go before it beyond
 /// their equal share.
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -68,10 +68,15 @@
     pub sent: u32,
     /// What those take.
     pub taken: task::Needs,
-    /// Tasks that its health allows at a time.
+    /// Tasks that its health allows at a time; not shown where it sets no limit.
+    #[serde(skip_serializing_if = "is_unlimited")]
     pub limit: u32,
 }
 
+fn is_unlimited(limit: &u32) -> bool {
+    *limit == u32::MAX
+}
+
 impl Agent {
     /// Slots that are free.
     pub fn free(&self) -> u32 {
@@ -202,7 +207,15 @@
     /// Takes an agent's load.
     pub fn load(&mut self, now: time::Instant, id: &id::AgentId, load: notice::Load) {
         let known = self.agents.get(id).map(|agent| agent.load);
-        if known == Some(load) {
+        let same = |known: notice::Load| notice::Load {
+            running: load.running,
+            ..known
+        };
+        if known.map(same) == Some(load) {
+            // How many run is for people to see; nothing here depends on it.
+            if let Some(agent) = self.agents.get_mut(id) {
+                agent.load = load;
+            }
             return;
         }
         if let Some(known) = known.filter(|known| known.capacity != load.capacity) {
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -32,6 +32,15 @@
 /// How many times slower a task of a worker that comes back may be.
 const SLOW_PROBE: f64 = 4.0;
 
+/// Standard errors by which it must differ, so that forecasts which scatter bar nobody.
+const CERTAIN: f64 = 4.5;
+
+/// The same for one task that was stopped.
+const OVERDUE: f64 = 3.5;
+
+/// Shortest run of such a task that tells against its worker.
+const MIN_OVERDUE: time::Duration = time::Duration::from_secs(2);
+
 /// Weight of a new run time.
 const GAIN: f64 = 0.1;
 
@@ -57,8 +66,10 @@
 pub enum Outcome {
     /// It was done; how long it ran and was thought to run.
     Done(time::Duration, time::Duration),
-    /// It failed, or was stopped long after it should have ended.
+    /// It failed.
     Failed,
+    /// It was stopped; how long it had run and was thought to run.
+    Stopped(time::Duration, time::Duration),
     /// The worker turned it away though it had room.
     Refused,
 }
@@ -122,6 +133,7 @@
     customers: HashMap<id::Customer, Share>,
     peers: Share,
     peers_pace: f64,
+    peers_variance: f64,
     peers_runs: u32,
     bars: BTreeSet<(time::Instant, id::AgentId)>,
 }
@@ -153,11 +165,11 @@
         }
         match outcome {
             Outcome::Done(ran, estimate) => self.done(now, agent, customer, ran, estimate, workers),
-            Outcome::Failed => {
-                if self.is_customers_fault(agent, customer) {
-                    return self.limit(agent);
+            Outcome::Stopped(ran, estimate) if !self.is_overdue(ran, estimate) => {}
+            Outcome::Failed | Outcome::Stopped(..) => {
+                if !self.is_customers_fault(agent, customer) {
+                    self.failed(now, agent, workers);
                 }
-                self.failed(now, agent, workers);
             }
             Outcome::Refused => self.failed(now, agent, workers),
         }
@@ -199,12 +211,14 @@
         if let Some(share) = self.customers.get_mut(customer) {
             share.count(false, KEEP);
         }
-        let pace = (ran.as_secs_f64().max(1e-3) / estimate.as_secs_f64().max(1e-3)).ln();
+        let pace = pace(ran, estimate);
         // Both means span the same time, so that forecasts which are off for everybody cancel out.
         self.peers_runs = self.peers_runs.saturating_add(1);
         let gain = (GAIN / workers.max(1) as f64).max(1.0 / f64::from(self.peers_runs));
         self.peers_pace += gain * (pace - self.peers_pace);
-        let peers = self.peers_pace;
+        let error = pace - self.peers_pace;
+        self.peers_variance += gain * (error * error - self.peers_variance);
+        let (peers, spread) = (self.peers_pace, self.peers_variance.sqrt());
         let record = self.records.get_mut(agent).expect("it was just added");
         if record.until.is_some() {
             // It began before the worker was barred, and tells nothing of the time since.
@@ -215,8 +229,11 @@
         record.runs += 1;
         record.pace += GAIN.max(1.0 / f64::from(record.runs)) * (pace - record.pace);
         let returning = record.limit < WELL;
-        let slow = record.runs >= ENOUGH_RUNS && record.pace - peers > SLOW.ln();
-        if slow || (returning && record.barred > 0 && pace - peers > SLOW_PROBE.ln()) {
+        let runs = f64::from(record.runs).min(2.0 / GAIN - 1.0);
+        let slow = SLOW.ln().max(CERTAIN * spread / runs.sqrt());
+        let slow_probe = SLOW_PROBE.ln().max(CERTAIN * spread);
+        let is_slow = record.runs >= ENOUGH_RUNS && record.pace - peers > slow;
+        if is_slow || (returning && record.barred > 0 && pace - peers > slow_probe) {
             self.bar(now, agent, workers);
             return;
         }
@@ -231,6 +248,12 @@
         }
     }
 
+    /// Tells whether a task that was stopped should have ended long before.
+    fn is_overdue(&self, ran: time::Duration, estimate: time::Duration) -> bool {
+        let least = SLOW_PROBE.ln().max(OVERDUE * self.peers_variance.sqrt());
+        ran >= MIN_OVERDUE && pace(ran, estimate) - self.peers_pace > least
+    }
+
     fn failed(&mut self, now: time::Instant, agent: &id::AgentId, workers: usize) {
         let peers = self.peers.failing();
         let record = self.records.get_mut(agent).expect("it was just added");
@@ -281,3 +304,8 @@
         fault
     }
 }
+
+/// Logarithm of the run time over the forecast.
+fn pace(ran: time::Duration, estimate: time::Duration) -> f64 {
+    (ran.as_secs_f64().max(1e-3) / estimate.as_secs_f64().max(1e-3)).ln()
+}
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -14,12 +14,6 @@
 use crate::id;
 use crate::task;
 
-/// How many times its estimate a task that was stopped must have run to tell against its worker.
-const OVERDUE: u32 = 4;
-
-/// Shortest run of such a task.
-const MIN_OVERDUE: time::Duration = time::Duration::from_secs(2);
-
 impl Owner {
     /// Hands out what can be handed out; called once after a message was taken in.
     pub fn dispatch(&mut self, now: time::Instant) {
@@ -269,11 +263,8 @@
             task::Outcome::Failed(code::Code::TaskFailed | code::Code::AnswerTruncated) => {
                 health::Outcome::Failed
             }
-            // Whoever stopped it, it should have ended long before.
-            task::Outcome::Failed(code::Code::TaskTimeout | code::Code::Cancelled)
-                if ran > (*estimate * OVERDUE).max(MIN_OVERDUE) =>
-            {
-                health::Outcome::Failed
+            task::Outcome::Failed(code::Code::TaskTimeout | code::Code::Cancelled) => {
+                health::Outcome::Stopped(ran, *estimate)
             }
             task::Outcome::Failed(_) => return,
         };
--- a/tests/decide_health.rs
+++ b/tests/decide_health.rs
@@ -91,12 +91,19 @@
         }
         fake::well(start)
     });
-    for _ in 0..100 {
-        fake.submit("broken", fake::tasks(1, 100, 100));
-        let job = fake.submit("town", fake::tasks(8, 100, 100));
-        fake.pass(Duration::from_millis(50));
-        let _ = job;
+    let mut least = u32::MAX;
+    for i in 0..100 {
+        for _ in 0..4 {
+            fake.submit("broken", fake::tasks(1, 100, 100));
+            fake.pass(Duration::from_millis(5));
+        }
+        fake.submit("town", fake::tasks(8, 100, 100));
+        fake.pass(Duration::from_millis(30));
+        if i >= 10 {
+            least = least.min(fake.owner.fleet().slots());
+        }
     }
+    assert!(least >= 24, "down to {least} of 32 slots");
     fake.pass(Duration::from_secs(1));
     assert_eq!(fake.owner.fleet().slots(), 32);
     let town = fake.starts_of("town", 0);
--- a/tests/decide_overload.rs
+++ b/tests/decide_overload.rs
@@ -41,7 +41,7 @@
 #[test]
 fn absurd_declarations_refuse_nobody_else() {
     let mut fake = fake::open(2);
-    fake.submit("village", fake::tasks(16, 200, 200));
+    fake.submit("village", fake::tasks(20, 200, 200));
     fake.submit("town", fake::tasks(290, 100, 600_000));
     let job = fake.submit("village", fake::tasks(4, 200, 200));
     assert!(fake.refusal(job).is_none(), "{:?}", fake.refusal(job));
