Measure the slopes of the capacity page with one command

The page needs figures that anybody can measure again. lovagemill bench drives the owner's decisions with synthetic events and injected time, links, and the real parts on loopback, each role on threads of its own, so that processor time is told apart by role. Memory is taken from the growth of the resident set, since a counting allocator would need unsafe code.

Ruled out: criterion benches, which measure functions well but not fleets of parts.

--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of `lovagemill`, the command line of callers and operators.
 
+pub mod bench;
 pub mod config;
 pub mod status;
 pub mod submit;
@@ -36,6 +37,10 @@
     ///
     /// The backend servers must be stand-ins: the callers check every answer's content.
     Load(work::LoadOpts),
+    /// Measure the slopes that docs/CAPACITY.md is worked out from
+    ///
+    /// Real parts and small stand-ins in this process, on loopback, for about a minute and a half.
+    Bench(bench::BenchOpts),
     /// Submit a job and print its answer
     ///
     /// The key is printed first, on standard error. Submitting again under the same key attaches
@@ -99,6 +104,7 @@
     match opts.command {
         Command::Demo(opts) => work::demo(&opts).await,
         Command::Load(opts) => work::load(&opts).await,
+        Command::Bench(opts) => bench::run(opts).await,
         Command::Submit(opts) => submit::submit(&opts, "/v1/jobs").await,
         Command::Request(opts) => submit::submit(&opts, "/v1/requests").await,
         Command::Cancel(opts) => submit::cancel(&opts).await,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,12 @@
 //! built from.
 //!
 //! Read `docs/ARCHITECTURE.md` for the picture. Imports go one way, down this list: the running
-//! parts ([`entry`], [`agent`], [`standin`], [`demo`]), the request [`filter`] chain and the state
+//! parts ([`entry`], [`agent`], [`standin`], [`demo`], [`bench`]), the request [`filter`] chain and the state
 //! [`controller`]s, the [`wire`] interfaces, the pure decisions in [`decide`], and the ground
 //! modules that everything may use.
 
 pub mod agent;
+pub mod bench;
 pub mod controller;
 pub mod decide;
 pub mod demo;
