Check that imports between folders go one way

The order was only written down. The test reads every source and names each line that imports a neighbour or a higher layer; a test of the test shows that it sees breaches.

--- a/src/bench/decisions.rs
+++ b/src/bench/decisions.rs
@@ -11,6 +11,7 @@
 use crate::bench::Config;
 use crate::class;
 use crate::decide::action::Action;
+use crate::decide::ledger;
 use crate::decide::notice;
 use crate::decide::order::Order;
 use crate::decide::owner;
@@ -275,6 +276,18 @@
     }
 }
 
+/// What an agent reports of tasks that it remembers, three of each job.
+pub fn report(n: usize) -> Vec<(task::Id, ledger::Standing)> {
+    let record = |number: usize| {
+        let id = task::Id {
+            job: format_compact!("team-07/0190a5b3-7c1d-7e2f-8a3b-{:012x}", number / 3),
+            index: (number % 3) as u32,
+        };
+        (id, ledger::Standing::Gone)
+    };
+    (0..n).map(record).collect()
+}
+
 fn raw(text: &str) -> Box<RawValue> {
     RawValue::from_string(text.to_owned()).expect("the text is JSON")
 }
--- a/src/bench/memory.rs
+++ b/src/bench/memory.rs
@@ -51,6 +51,11 @@
     measure("owner: per inherited claim", 25_000 * scale, &|n| {
         Box::new(claims(n))
     });
+    measure(
+        "owner: per task that agents report at a takeover",
+        25_000 * scale,
+        &|n| Box::new(reported(n)),
+    );
     measure("agent: per task that it remembers", 25_000 * scale, &|n| {
         Box::new(records(n))
     });
@@ -126,6 +131,17 @@
     inheritance
 }
 
+fn reported(n: usize) -> inherit::Inheritance {
+    let now = time::Instant::now();
+    let mut inheritance = inherit::Inheritance::open(now, time::Duration::ZERO);
+    let life = inherit::Life {
+        agent: "agent-0000".into(),
+        incarnation: 1,
+    };
+    inheritance.report(&life, &decisions::report(n));
+    inheritance
+}
+
 /// A ledger of tasks that ended and whose answers were acknowledged; an agent gets few of a job.
 fn records(n: usize) -> ledger::Ledger {
     let now = time::Instant::now();
--- a/src/bench/takeover.rs
+++ b/src/bench/takeover.rs
@@ -6,13 +6,16 @@
 use compact_str::format_compact;
 use hyper::Method;
 
+use crate::bench::decisions;
 use crate::bench::parts::{self, Sizes};
 use crate::bench::slope::Slope;
 use crate::bench::Config;
 use crate::clock;
 use crate::decide::inherit;
+use crate::decide::ledger;
 use crate::demo;
 use crate::standin::backend::Input;
+use crate::task;
 use crate::wire::caller;
 use crate::wire::http;
 use crate::wire::platform::{Table, Transaction};
@@ -45,7 +48,39 @@
         let name = format_compact!("owner dies to next answer, {agents} agents, {claims} claims");
         Slope::of("takeover", name, "ms", rounds)
     };
-    Ok(cases.iter().zip(found).map(slope).collect())
+    let mut slopes: Vec<Slope> = cases.iter().zip(found).map(slope).collect();
+    slopes.extend(reports(cfg)?);
+    Ok(slopes)
+}
+
+/// What a new owner spends on the tasks that agents report, and how many bytes those take.
+fn reports(cfg: Config) -> anyhow::Result<Vec<Slope>> {
+    let n = if cfg.quick { 10_000 } else { 44_000 };
+    let (mut micros, mut bytes) = (Vec::new(), Vec::new());
+    for incarnation in 0..3 {
+        let life = inherit::Life {
+            agent: "agent-0000".into(),
+            incarnation,
+        };
+        let mut inheritance =
+            inherit::Inheritance::open(time::Instant::now(), time::Duration::ZERO);
+        let report = decisions::report(n);
+        let begun = time::Instant::now();
+        let text = serde_json::to_string(&report)?;
+        let read: Vec<(task::Id, ledger::Standing)> = serde_json::from_str(&text)?;
+        inheritance.report(&life, &read);
+        micros.push(begun.elapsed().as_secs_f64() * 1e6 / n as f64);
+        bytes.push(text.len() as f64 / n as f64);
+    }
+    Ok(vec![
+        Slope::of(
+            "takeover",
+            "per task that an agent reports: encode, decode, take in",
+            "us",
+            micros,
+        ),
+        Slope::of("takeover", "per task that an agent reports", "bytes", bytes),
+    ])
 }
 
 /// Milliseconds from the death of the owner to the answer of a request sent at that moment.
--- /dev/null
+++ b/tests/imports.rs
@@ -0,0 +1,115 @@
+//! Imports between folders go one way, as docs/ARCHITECTURE.md draws them.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// The layers, highest first. What stands in one line never imports its neighbours.
+const LAYERS: [&[&str]; 8] = [
+    &["cli"],
+    &["bench"],
+    &["demo"],
+    &["agent", "entry", "standin"],
+    &["filter"],
+    &["controller"],
+    &["wire"],
+    &["decide"],
+];
+
+/// The layer of a module of the crate; the ground modules lie under all layers.
+fn layer(module: &str) -> usize {
+    let found = LAYERS.iter().position(|layer| layer.contains(&module));
+    found.unwrap_or(LAYERS.len())
+}
+
+fn sources(dir: &Path) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir).expect("the folder can be read") {
+        let path = entry.expect("the folder can be read").path();
+        if path.is_dir() {
+            found.extend(sources(&path));
+        } else if path.extension().is_some_and(|ext| ext == "rs") {
+            found.push(path);
+        }
+    }
+    found
+}
+
+/// Modules of the crate that a source names, with the lines where it does. Comments don't count.
+fn named<'a>(text: &'a str, root: &str) -> Vec<(usize, &'a str)> {
+    let mut found = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        if line.trim_start().starts_with("//") {
+            continue;
+        }
+        for (at, _) in line.match_indices(root) {
+            let rest = &line[at + root.len()..];
+            let end = rest.find(|c: char| !c.is_alphanumeric() && c != '_');
+            found.push((number + 1, &rest[..end.unwrap_or(rest.len())]));
+        }
+    }
+    found
+}
+
+/// The top module that a file belongs to, by its path under `src/`.
+fn module(path: &Path) -> String {
+    let first = path.components().next().expect("a path isn't empty");
+    let name = Path::new(first.as_os_str()).file_stem();
+    name.expect("a file has a name")
+        .to_string_lossy()
+        .into_owned()
+}
+
+/// Every breach of the order in one source.
+fn breaches(path: &Path, text: &str) -> Vec<String> {
+    let from = module(path);
+    let allowed = |to: &str| {
+        let ground = layer(&from) == LAYERS.len() && layer(to) == LAYERS.len();
+        to == from || ground || layer(&from) < layer(to)
+    };
+    let found = named(text, "crate::").into_iter();
+    found
+        .filter(|(_, to)| !allowed(to))
+        .map(|(line, to)| format!("{}:{line} imports {to}", path.display()))
+        .collect()
+}
+
+#[test]
+fn imports_go_one_way() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut found = Vec::new();
+    for path in sources(&root) {
+        let text = fs::read_to_string(&path).expect("the source can be read");
+        let short = path.strip_prefix(&root).expect("the source lies in src");
+        found.extend(breaches(short, &text));
+    }
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
+
+/// The binaries are thin: they know the command line's module and nothing else.
+#[test]
+fn binaries_import_only_the_command_line() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/bin");
+    for path in sources(&root) {
+        let text = fs::read_to_string(&path).expect("the source can be read");
+        for (line, to) in named(&text, "lovagemill::") {
+            assert_eq!(to, "cli", "{}:{line}", path.display());
+        }
+    }
+}
+
+/// The check sees a breach, or it would prove nothing.
+#[test]
+fn a_breach_is_seen() {
+    let decide = Path::new("decide/queue.rs");
+    assert_eq!(breaches(decide, "use crate::wire::http;").len(), 1);
+    assert_eq!(breaches(decide, "let f = crate::entry::open;").len(), 1);
+    assert!(breaches(decide, "use crate::id;\n// use crate::wire;").is_empty());
+    assert_eq!(
+        breaches(Path::new("agent/work.rs"), "use crate::entry::core;").len(),
+        1
+    );
+    assert_eq!(
+        breaches(Path::new("id.rs"), "use crate::decide::queue;").len(),
+        1
+    );
+}
