--- /dev/null
+++ b/examples/claims_and_fencing.rs
@@ -0,0 +1,94 @@
+//! Claims and fencing: why no task starts twice, although owners come and go and messages are late.
+//!
+//! An owner of the past wakes from a pause and sends its starts; its successor has raised the
+//! epoch, has asked every agent what it started, and decides from that about a resubmission.
+//!
+//! Run with `cargo run --example claims_and_fencing`.
+
+use std::time;
+
+use lovagemill::code::Code;
+use lovagemill::decide::inherit::{Found, Inheritance, Life, PATIENCE};
+use lovagemill::decide::ledger::{Ledger, Standing, Verdict};
+use lovagemill::id;
+use lovagemill::task;
+
+fn task(job: &str, index: id::TaskIndex) -> task::Id {
+    task::Id {
+        job: job.into(),
+        index,
+    }
+}
+
+pub fn main() {
+    let now = time::Instant::now();
+    let wall = time::Duration::from_secs(1_700_000_000);
+
+    // Two agents join under epoch 1, whose owner starts one task of a job on the first.
+    let mut agents = [Ledger::default(), Ledger::default()];
+    for agent in &mut agents {
+        agent.join(1);
+    }
+    assert_eq!(agents[0].start(now, 1, &task("canoas/k1", 0)), Verdict::Run);
+
+    // The owner falls silent; its successor raises the epoch in the table and fences the agents.
+    for agent in &mut agents {
+        assert_eq!(agent.fence(2), Ok(()));
+    }
+
+    // The first owner wakes and sends its next start, and a hello. Nothing of it takes effect.
+    let late = agents[1].start(now, 1, &task("canoas/k1", 1));
+    assert_eq!(late, Verdict::Refuse(Code::StaleEpoch));
+    assert_eq!(agents[1].fence(1), Err(2));
+
+    // The successor looks keys up only once it knows the claims and what every agent started.
+    let mut inheritance = Inheritance::open(now, wall);
+    let lives: Vec<Life> = (0..2).map(life).collect();
+    inheritance.members(now, lives.clone(), &[]);
+    inheritance.claims([]);
+    assert!(!inheritance.is_ready(now));
+    for (agent, life) in agents.iter().zip(&lives) {
+        inheritance.report(life, &agent.report());
+    }
+    assert!(inheritance.is_ready(now));
+
+    // The caller submits the job again: its first task is known, the second was never started.
+    let found = inheritance.look(&"canoas/k1".into(), 7, None);
+    let Found::Known {
+        tasks,
+        rest_startable,
+    } = found
+    else {
+        panic!("the job is known: {found:?}");
+    };
+    assert_eq!(tasks[&0], ("agent-0".into(), Standing::Started));
+    assert!(rest_startable);
+    assert_eq!(agents[1].start(now, 2, &task("canoas/k1", 1)), Verdict::Run);
+    // The same start twice runs once.
+    assert_eq!(
+        agents[1].start(now, 2, &task("canoas/k1", 1)),
+        Verdict::Duplicate
+    );
+    println!("the late start was refused, the resubmission found its first task");
+
+    // Where an agent is lost with the owner, a key that may have run is never called fresh.
+    let mut blind = Inheritance::open(now, wall);
+    blind.members(now, lives.clone(), &[]);
+    blind.claims([]);
+    blind.report(&lives[0], &agents[0].report());
+    let later = now + PATIENCE;
+    assert!(blind.is_ready(later), "it doesn't wait for ever");
+    let minted_before = Some(wall);
+    assert_eq!(
+        blind.look(&"canoas/k2".into(), 9, minted_before),
+        Found::MayHaveRun
+    );
+    println!("a key that may have run on the lost agent is answered as unknown, not as not run");
+}
+
+fn life(number: usize) -> Life {
+    Life {
+        agent: format!("agent-{number}").into(),
+        incarnation: 1,
+    }
+}
--- /dev/null
+++ b/examples/fair_queue.rs
@@ -0,0 +1,60 @@
+//! Fair shares of slot time without weights: one customer floods the queue, another sends little.
+//!
+//! Run with `cargo run --example fair_queue`.
+
+use std::time;
+
+use lovagemill::decide::queue::{Policy, Queue, Waiting};
+use lovagemill::id;
+use lovagemill::task;
+
+/// How long every task runs.
+const RUN: time::Duration = time::Duration::from_millis(100);
+
+fn push(queue: &mut Queue, now: time::Instant, customer: &str, job: &str, tasks: u32) {
+    let waiting = |index| Waiting {
+        id: task::Id {
+            job: job.into(),
+            index,
+        },
+        estimate: RUN,
+        needs: task::Needs::default(),
+    };
+    let deadline = now + time::Duration::from_secs(8);
+    let tasks = (0..tasks).map(waiting).collect();
+    queue.push(&customer.into(), &job.into(), deadline, tasks);
+}
+
+/// Serves one task at a time and tells how many were served until a job's last task left.
+fn served_until(policy: Policy, job: &str) -> u32 {
+    let now = time::Instant::now();
+    let mut queue = Queue::open(policy, now);
+    push(&mut queue, now, "rede-estadual", "large", 1_000);
+    push(&mut queue, now, "canoas", "small", 10);
+    let (mut served, mut last) = (0, 0);
+    while let Some(task) = queue.pop(|_| true) {
+        served += 1;
+        let customer: id::Customer = match task.id.job.as_str() {
+            "large" => "rede-estadual".into(),
+            _ => "canoas".into(),
+        };
+        // The queue is told what a customer uses; it never asks for weights.
+        queue.charge(now, &customer, RUN.as_secs_f64());
+        if task.id.job == job {
+            last = served;
+        }
+    }
+    last
+}
+
+pub fn main() {
+    let fifo = served_until(Policy::Fifo, "small");
+    let fair = served_until(Policy::Fair, "small");
+    println!("tasks served before the small customer's job was through:");
+    println!("  first in, first out: {fifo}");
+    println!("  fair shares:         {fair}");
+    assert_eq!(fifo, 1_010, "the small job waits for all of the large one");
+    assert!(fair <= 20, "the small job waits for about its own length");
+    // The large customer loses nothing but that: the slots are never idle while it has work.
+    assert_eq!(served_until(Policy::Fair, "large"), 1_010);
+}
