--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -6,7 +6,7 @@
 
 use crate::bench::gauge;
 use crate::bench::parts::{self, Sizes};
-use crate::bench::slope::Slope;
+use crate::bench::slope::{self, Reading, Slope};
 use crate::bench::Config;
 use crate::count::Kind;
 use crate::decide::owner;
@@ -18,18 +18,24 @@
 /// Slots of each.
 const SLOTS: u32 = 24;
 
-/// Runs the demo's workload through one cell at half of its capacity, under both kinds of key.
+/// Runs the demo's workload through one cell at half of its capacity, under both kinds of key,
+/// rounds interleaved.
 pub async fn run(cfg: Config) -> anyhow::Result<Vec<Slope>> {
-    let seconds = if cfg.quick { 1 } else { 5 };
-    let mut found = Vec::new();
-    let kinds: &[bool] = if cfg.quick { &[true] } else { &[true, false] };
-    for aged_keys in kinds {
-        found.extend(at_work(time::Duration::from_secs(seconds), *aged_keys).await?);
+    let rounds = if cfg.quick { 1 } else { 3 };
+    let duration = time::Duration::from_secs(if cfg.quick { 1 } else { 3 });
+    let (mut aged, mut plain) = (Vec::new(), Vec::new());
+    for _ in 0..rounds {
+        aged.push(at_work(duration, true).await?);
+        if !cfg.quick {
+            plain.push(at_work(duration, false).await?);
+        }
     }
+    let mut found = slope::gather("work", &aged);
+    found.extend(slope::gather("work", &plain));
     Ok(found)
 }
 
-async fn at_work(duration: time::Duration, aged_keys: bool) -> anyhow::Result<Vec<Slope>> {
+async fn at_work(duration: time::Duration, aged_keys: bool) -> anyhow::Result<Vec<Reading>> {
     let parts = parts::open(Sizes {
         entries: 3,
         cells: 1,
@@ -74,8 +80,10 @@
     } else {
         "plain keys"
     };
-    let one = |name: &str, unit, value| {
-        Slope::of("work", format_compact!("{name}, {keys}"), unit, vec![value])
+    let one = |name: &str, unit, value| Reading {
+        name: format_compact!("{name}, {keys}"),
+        unit,
+        value,
     };
     let per_task = |name| gauge::since(&before, name) * 1e6 / tasks;
     let found = vec![
--- a/src/bench/nodes.rs
+++ b/src/bench/nodes.rs
@@ -1,231 +1,237 @@
 //! What nodes do while no work is there: control bytes and processor time, by role.
 
+use std::collections::BTreeMap;
 use std::time;
 
 use compact_str::format_compact;
 
 use crate::bench::gauge;
-use crate::bench::parts::{self, Sizes};
-use crate::bench::slope::Slope;
+use crate::bench::parts::{self, Parts, Sizes};
+use crate::bench::slope::{self, Reading, Slope};
 use crate::bench::Config;
-use crate::count::Kind;
+use crate::count::{Kind, Messages};
 
-/// Entries of the first measurements: one owns the cell, the others forward.
+/// Entries beside the fleets: one owns the cell, the others forward.
 const ENTRIES: usize = 3;
 
-/// Measures fleets of several sizes, and a mesh of entries.
+/// One round, a whole number of the polls of members and cells.
+const ROUND: time::Duration = time::Duration::from_secs(2);
+
+/// Longest that entries may take to share the cells among them.
+const PATIENCE: time::Duration = time::Duration::from_secs(15);
+
+/// Measures fleets of several sizes, and meshes of entries.
 pub async fn run(cfg: Config) -> anyhow::Result<Vec<Slope>> {
-    // Whole numbers of the polls of 2 and 3 s.
-    let window = time::Duration::from_secs(if cfg.quick { 2 } else { 6 });
+    let rounds = if cfg.quick { 1 } else { 3 };
     let fleets: &[usize] = if cfg.quick { &[11] } else { &[11, 50, 150] };
     let mut found = Vec::new();
     for agents in fleets {
-        found.extend(one_cell(*agents, window).await?);
+        found.extend(one_cell(*agents, rounds).await?);
     }
     let meshes: &[usize] = if cfg.quick { &[4] } else { &[4, 16] };
     for entries in meshes {
-        found.extend(mesh(*entries, window).await?);
+        found.extend(mesh(*entries, rounds).await?);
     }
     Ok(found)
 }
 
-/// What was counted when a window began.
-struct Before {
-    at: time::Instant,
-    processor: std::collections::BTreeMap<String, f64>,
-    operations: (u64, u64),
-    entries: Vec<Counted>,
-    agents: Vec<Counted>,
-}
-
 /// Control bytes that a node sent on links, and exchanged with the platform.
 #[derive(Clone, Copy, Debug)]
-struct Counted {
-    links: u64,
-    platform: u64,
+struct Control {
+    links: f64,
+    platform: f64,
 }
 
-impl Counted {
-    fn of(messages: &crate::count::Messages) -> Counted {
-        Counted {
-            links: messages.bytes(Kind::Control),
-            platform: messages.bytes(Kind::TableRead) + messages.bytes(Kind::TableWrite),
+impl Control {
+    fn of(messages: &Messages) -> Control {
+        Control {
+            links: messages.bytes(Kind::Control) as f64,
+            platform: (messages.bytes(Kind::TableRead) + messages.bytes(Kind::TableWrite)) as f64,
         }
     }
 
-    fn since(&self, before: &Counted, seconds: f64) -> (f64, f64) {
-        let per_second = |now: u64, then: u64| (now - then) as f64 / seconds;
-        (
-            per_second(self.links, before.links),
-            per_second(self.platform, before.platform),
-        )
+    /// The growth since an earlier count, per second.
+    fn rate(self, before: &Control, seconds: f64) -> Control {
+        Control {
+            links: (self.links - before.links) / seconds,
+            platform: (self.platform - before.platform) / seconds,
+        }
     }
 }
 
-impl Before {
-    fn of(parts: &parts::Parts) -> Before {
-        let entries = parts.entries.iter().map(|node| Counted::of(&node.messages));
-        let agents = parts.agents.iter().map(|node| Counted::of(&node.messages));
-        Before {
+/// All counters at one moment.
+struct Snapshot {
+    at: time::Instant,
+    processor: BTreeMap<String, f64>,
+    reads: u64,
+    writes: u64,
+    entries: Vec<Control>,
+    agents: Vec<Control>,
+}
+
+/// What went on between two snapshots, per second.
+struct Rates {
+    entries: Vec<Control>,
+    agents: Vec<Control>,
+    entry_cores: f64,
+    agent_cores: f64,
+    reads: f64,
+    writes: f64,
+}
+
+impl Snapshot {
+    fn of(parts: &Parts) -> Snapshot {
+        let (reads, writes) = parts.platform.operations();
+        let entries = parts.entries.iter().map(|node| Control::of(&node.messages));
+        let agents = parts.agents.iter().map(|node| Control::of(&node.messages));
+        Snapshot {
             at: time::Instant::now(),
             processor: gauge::processor(),
-            operations: parts.platform.operations(),
+            reads,
+            writes,
             entries: entries.collect(),
             agents: agents.collect(),
         }
     }
+
+    fn until(&self, now: &Snapshot) -> Rates {
+        let seconds = now.at.duration_since(self.at).as_secs_f64();
+        let rates = |now: &[Control], then: &[Control]| {
+            let pairs = now.iter().zip(then);
+            pairs.map(|(now, then)| now.rate(then, seconds)).collect()
+        };
+        let cores = |name| gauge::since(&self.processor, name) / seconds;
+        Rates {
+            entries: rates(&now.entries, &self.entries),
+            agents: rates(&now.agents, &self.agents),
+            entry_cores: cores(parts::ENTRIES),
+            agent_cores: cores(parts::AGENTS),
+            reads: (now.reads - self.reads) as f64 / seconds,
+            writes: (now.writes - self.writes) as f64 / seconds,
+        }
+    }
 }
 
-/// One cell with a fleet: its owner, two entries that forward, and agents.
-async fn one_cell(agents: usize, window: time::Duration) -> anyhow::Result<Vec<Slope>> {
+/// Watches idle parts for some rounds.
+async fn watch(parts: &Parts, rounds: usize) -> Vec<Rates> {
+    // What the opening set off has to end first.
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let mut found = Vec::new();
+    for _ in 0..rounds {
+        let before = Snapshot::of(parts);
+        tokio::time::sleep(ROUND).await;
+        found.push(before.until(&Snapshot::of(parts)));
+    }
+    found
+}
+
+/// One cell with a fleet: its owner, entries that forward, and agents.
+async fn one_cell(agents: usize, rounds: usize) -> anyhow::Result<Vec<Slope>> {
     let resident = gauge::resident();
-    let parts = parts::open(Sizes {
+    let sizes = Sizes {
         entries: ENTRIES,
         cells: 1,
         agents,
         slots: 8,
-    })
-    .await?;
-    tokio::time::sleep(time::Duration::from_millis(500)).await;
-    let before = Before::of(&parts);
-    tokio::time::sleep(window).await;
-    let seconds = before.at.elapsed().as_secs_f64();
-    let entries: Vec<(f64, f64)> = parts
-        .entries
-        .iter()
-        .zip(&before.entries)
-        .map(|(node, then)| Counted::of(&node.messages).since(then, seconds))
-        .collect();
-    let agent_rates: Vec<(f64, f64)> = parts
-        .agents
+    };
+    let parts = parts::open(sizes).await?;
+    let owner = parts.owner().unwrap_or(0);
+    let watched = watch(&parts, rounds).await;
+    let megabytes = (gauge::resident() - resident) / 1e6;
+    parts.stop().await;
+    let readings: Vec<Vec<Reading>> = watched
         .iter()
-        .zip(&before.agents)
-        .map(|(node, then)| Counted::of(&node.messages).since(then, seconds))
+        .map(|rates| cell_readings(rates, owner, agents, megabytes))
         .collect();
-    let owner = parts.owner().unwrap_or(0);
-    let from_agents: f64 = agent_rates.iter().map(|(links, _)| links).sum();
-    let forwarders: f64 = (0..ENTRIES)
-        .filter(|i| *i != owner)
-        .map(|i| entries[i].0)
-        .sum();
-    let (owner_links, owner_platform) = entries[owner];
+    Ok(slope::gather("idle", &readings))
+}
+
+fn cell_readings(rates: &Rates, owner: usize, agents: usize, megabytes: f64) -> Vec<Reading> {
     let peers = (ENTRIES - 1) as f64;
+    let others = |f: fn(&Control) -> f64| -> f64 {
+        let all = rates.entries.iter().enumerate();
+        all.filter(|(i, _)| *i != owner).map(|(_, c)| f(c)).sum()
+    };
+    let own = rates.entries[owner];
+    let from_agents: f64 = rates.agents.iter().map(|c| c.links).sum();
     // While nothing runs an owner sends its agents nothing, so all it sends goes to entries.
-    let forwarder = owner_links / peers + forwarders / peers + entries[(owner + 1) % ENTRIES].1;
-    let agent = mean(agent_rates.iter().map(|(links, platform)| links + platform));
-    let per_core = |name| gauge::since(&before.processor, name) / seconds * 100.0;
-    let (reads, writes) = parts.platform.operations();
-    let fleet = |text: &str| format_compact!("{text}, {agents} agents");
-    let one = |name, unit, value| Slope::of("idle", fleet(name), unit, vec![value]);
-    let found = vec![
-        one(
-            "control of the owner, both ways",
-            "bytes/s",
-            owner_links + owner_platform + from_agents + forwarders,
-        ),
-        one(
+    let forwarder = own.links / peers + others(|c| c.links + c.platform) / peers;
+    let at_owner = own.links + own.platform + from_agents + others(|c| c.links);
+    let agent: f64 = rates.agents.iter().map(|c| c.links + c.platform).sum();
+    let fleet = agents as f64;
+    let reading = |name: &str, unit, value| Reading {
+        name: format_compact!("{name}, {agents} agents"),
+        unit,
+        value,
+    };
+    let percent = "% of a core";
+    vec![
+        reading("control of the owner, both ways", "bytes/s", at_owner),
+        reading(
             "control of a forwarding entry, both ways",
             "bytes/s",
             forwarder,
         ),
-        one("control of an agent, both ways", "bytes/s", agent),
-        one(
+        reading("control of an agent, both ways", "bytes/s", agent / fleet),
+        reading(
             "processor time of 3 entries together",
-            "% of a core",
-            per_core(parts::ENTRIES),
+            percent,
+            100.0 * rates.entry_cores,
         ),
-        one(
+        reading(
             "processor time of an agent",
-            "% of a core",
-            per_core(parts::AGENTS) / agents as f64,
-        ),
-        one(
-            "platform reads, 3 entries",
-            "1/s",
-            (reads - before.operations.0) as f64 / seconds,
-        ),
-        one(
-            "platform writes, 3 entries",
-            "1/s",
-            (writes - before.operations.1) as f64 / seconds,
+            percent,
+            100.0 * rates.agent_cores / fleet,
         ),
-        one(
-            "memory of all parts together",
-            "MB",
-            (gauge::resident() - resident) / 1e6,
-        ),
-    ];
-    parts.stop().await;
-    Ok(found)
+        reading("platform reads, 3 entries", "1/s", rates.reads),
+        reading("platform writes, 3 entries", "1/s", rates.writes),
+        reading("memory of all parts together", "MB", megabytes),
+    ]
 }
 
 /// As many cells as entries, so that every entry owns one and forwards to all others.
-async fn mesh(entries: usize, window: time::Duration) -> anyhow::Result<Vec<Slope>> {
-    let parts = parts::open(Sizes {
+async fn mesh(entries: usize, rounds: usize) -> anyhow::Result<Vec<Slope>> {
+    let sizes = Sizes {
         entries,
         cells: entries as u16,
         agents: 0,
         slots: 8,
-    })
-    .await?;
-    let spread = time::Instant::now();
-    let owners = |parts: &parts::Parts| {
+    };
+    let parts = parts::open(sizes).await?;
+    let begun = time::Instant::now();
+    let owners = || {
         let nodes = parts.entries.iter();
         nodes.filter(|node| node.entry.owns_any()).count()
     };
-    let patience = time::Duration::from_secs(15);
-    while owners(&parts) < entries && spread.elapsed() < patience {
+    while owners() < entries && begun.elapsed() < PATIENCE {
         tokio::time::sleep(time::Duration::from_millis(50)).await;
     }
-    let took = spread.elapsed().as_secs_f64();
-    tokio::time::sleep(time::Duration::from_millis(500)).await;
-    let before = Before::of(&parts);
-    tokio::time::sleep(window).await;
-    let seconds = before.at.elapsed().as_secs_f64();
-    let rates: Vec<(f64, f64)> = parts
-        .entries
-        .iter()
-        .zip(&before.entries)
-        .map(|(node, then)| Counted::of(&node.messages).since(then, seconds))
-        .collect();
-    let per_entry: Vec<f64> = rates
-        .iter()
-        .map(|(links, platform)| 2.0 * links + platform)
-        .collect();
-    let (reads, writes) = parts.platform.operations();
-    let processor = gauge::since(&before.processor, parts::ENTRIES) / seconds * 100.0;
-    let size = |text: &str| format_compact!("{text}, {entries} entries and cells");
-    let one = |name, unit, value| Slope::of("mesh", size(name), unit, vec![value]);
-    let found = vec![
-        one("entries that own a cell", "entries", owners(&parts) as f64),
-        one("time until every entry owns one", "s", took),
-        Slope::of(
-            "mesh",
-            size("control of an entry, both ways"),
-            "bytes/s",
-            per_entry,
-        ),
-        one(
-            "processor time of an entry",
-            "% of a core",
-            processor / entries as f64,
-        ),
-        one(
-            "platform reads",
-            "1/s",
-            (reads - before.operations.0) as f64 / seconds,
-        ),
-        one(
-            "platform writes",
-            "1/s",
-            (writes - before.operations.1) as f64 / seconds,
-        ),
-    ];
+    let took = begun.elapsed().as_secs_f64();
+    let owners = owners();
+    let watched = watch(&parts, rounds).await;
     parts.stop().await;
-    Ok(found)
-}
-
-fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let all: Vec<f64> = values.collect();
-    all.iter().sum::<f64>() / all.len().max(1) as f64
+    let reading = |name: &str, unit, value| Reading {
+        name: format_compact!("{name}, {entries} entries and cells"),
+        unit,
+        value,
+    };
+    let size = entries as f64;
+    let readings = |rates: &Rates| {
+        let control: f64 = rates
+            .entries
+            .iter()
+            .map(|c| 2.0 * c.links + c.platform)
+            .sum();
+        let percent = 100.0 * rates.entry_cores / size;
+        vec![
+            reading("entries that own a cell", "entries", owners as f64),
+            reading("time until every entry owns one", "s", took),
+            reading("control of an entry, both ways", "bytes/s", control / size),
+            reading("processor time of an entry", "% of a core", percent),
+            reading("platform reads", "1/s", rates.reads),
+            reading("platform writes", "1/s", rates.writes),
+        ]
+    };
+    let all: Vec<Vec<Reading>> = watched.iter().map(readings).collect();
+    Ok(slope::gather("mesh", &all))
 }
--- a/src/bench/slope.rs
+++ b/src/bench/slope.rs
@@ -50,6 +50,29 @@
     }
 }
 
+/// One figure of one round.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// As in [`Slope`].
+    pub name: CompactString,
+    /// As in [`Slope`].
+    pub unit: &'static str,
+    /// What was measured.
+    pub value: f64,
+}
+
+/// Turns rounds, each with the same readings in the same order, into slopes.
+pub fn gather(group: &'static str, rounds: &[Vec<Reading>]) -> Vec<Slope> {
+    let Some(first) = rounds.first() else {
+        return Vec::new();
+    };
+    let slope = |(i, reading): (usize, &Reading)| {
+        let values = rounds.iter().map(|round| round[i].value).collect();
+        Slope::of(group, &reading.name, reading.unit, values)
+    };
+    first.iter().enumerate().map(slope).collect()
+}
+
 /// All slopes of one run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Report {
