--- a/examples/versioned_configuration.rs
+++ b/examples/versioned_configuration.rs
@@ -10,12 +10,12 @@
         "[[class]]\nname = \"trip-check\"\ntarget_ms = {target_ms}\n\n\
          [[quota]]\ncustomer = \"rede-estadual\"\nwaiting_tasks = 5000\n"
     );
-    Document::parse(&text).expect("the document is right")
+    Document::parse(text.as_bytes()).expect("the document is right")
 }
 
 pub fn main() {
     // A mistaken document is refused as a whole, with every mistake named.
-    let mistakes = Document::parse("[[class]]\nname = \"trip check\"\ntarget_ms = 0\n")
+    let mistakes = Document::parse(b"[[class]]\nname = \"trip check\"\ntarget_ms = 0\n")
         .expect_err("the document is mistaken");
     for mistake in &mistakes {
         println!("{}: {}", mistake.place, mistake.mend);
