--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -11,6 +11,7 @@
 
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::code;
 use crate::decide::action;
 use crate::decide::inherit;
@@ -77,7 +78,7 @@
             (events.deposed)();
             return;
         }
-        old.push_back((key, since_epoch()));
+        old.push_back((key, clock::since_epoch()));
     }
 }
 
@@ -158,7 +159,7 @@
     old: &mut VecDeque<Written>,
     group: &[action::Claim],
 ) -> Transaction {
-    let at_ms = since_epoch().as_millis() as u64;
+    let at_ms = clock::since_epoch().as_millis() as u64;
     let claimed = |claim: &action::Claim| inherit::Claimed {
         key: claim.key.clone(),
         digest: claim.digest,
@@ -174,7 +175,7 @@
         key: rows::beat(scope.cell),
         value: Some(format!("[{},{at_ms}]", scope.epoch)),
     });
-    let expired = since_epoch().saturating_sub(ledger::RETENTION);
+    let expired = clock::since_epoch().saturating_sub(ledger::RETENTION);
     while old.front().is_some_and(|(_, at)| *at < expired) && writes.len() <= MAX_REMOVED + 1 {
         let (key, _) = old.pop_front().expect("the front was there");
         writes.push(Write { key, value: None });
@@ -187,9 +188,3 @@
         writes,
     }
 }
-
-/// The wall clock, counted from the Unix epoch.
-pub fn since_epoch() -> time::Duration {
-    let now = time::SystemTime::now();
-    now.duration_since(time::UNIX_EPOCH).unwrap_or_default()
-}
--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -24,7 +24,7 @@
 pub const POLL: time::Duration = time::Duration::from_secs(60);
 
 /// Pause between reads before any document was found.
-const FIRST: time::Duration = time::Duration::from_millis(500);
+const FIRST: time::Duration = time::Duration::from_millis(300);
 
 /// Pauses while the table fails, growing from the first to the second with jitter.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(100);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,9 +5,10 @@
 mod core;
 mod http;
 mod inward;
-mod operate;
+pub mod operate;
 mod peers;
-mod status;
+mod spans;
+pub mod status;
 
 use std::net;
 use std::sync::Arc;
