--- a/src/controller/backoff.rs
+++ b/src/controller/backoff.rs
@@ -17,11 +17,17 @@
 
 /// Opens pauses that grow from `min` to `max`, each with up to its own length added.
 pub fn open(min: time::Duration, max: time::Duration) -> Backoff {
+    seeded(min, max, rand::random())
+}
+
+/// Opens pauses whose jitter comes from a seed.
+pub fn seeded(min: time::Duration, max: time::Duration, seed: u64) -> Backoff {
     let builder = backon::ExponentialBuilder::default()
         .with_min_delay(min)
         .with_max_delay(max)
         .without_max_times()
-        .with_jitter();
+        .with_jitter()
+        .with_jitter_seed(seed);
     Backoff {
         pauses: builder.build(),
         builder,
--- /dev/null
+++ b/tests/config_force.rs
@@ -0,0 +1,304 @@
+//! A change of the configuration: accepted everywhere or refused, in force everywhere, never back.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use hyper::Method;
+use lovagemill::class;
+use lovagemill::code::Code;
+use lovagemill::controller::config;
+use lovagemill::count;
+use lovagemill::entry;
+use lovagemill::id;
+use lovagemill::wire::http;
+use lovagemill::wire::link;
+use lovagemill::wire::peer;
+use lovagemill::wire::platform::{self, Row};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+
+use support::memory::{Fault, Memory, Operation};
+use support::path;
+
+fn quiet() -> config::Events {
+    config::Events {
+        changed: Box::new(|_| {}),
+        behind: Box::new(|_| {}),
+    }
+}
+
+/// The document in the table, with its version.
+fn written(memory: &Memory) -> class::Versioned {
+    let row = memory.store.lock().unwrap().get("config").unwrap();
+    serde_json::from_str(&row.value).unwrap()
+}
+
+/// A target that was accepted is gone, though nobody changed it back.
+/// Operators change the same version at once, and some of the table's answers are lost after the
+/// write took effect. An answer that says "accepted" has to be true, and of one version only once.
+#[test]
+fn racing_operators_and_lost_answers_accept_each_version_once() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let accepted: Arc<Mutex<BTreeMap<id::Version, i64>>> = Arc::default();
+        let mut operators = Vec::new();
+        for operator in 0..6 {
+            let mut rng = SmallRng::seed_from_u64(operator);
+            let faults = move |_| match rng.random_range(0..10) {
+                0 => Fault::Down,
+                1 => Fault::AnswerLost,
+                2 => Fault::Lost,
+                _ => Fault::None,
+            };
+            let config = config::open(memory.failing(Box::new(faults)).table);
+            let (memory, accepted) = (memory.clone(), accepted.clone());
+            operators.push(tokio::spawn(async move {
+                for change in 0..6 {
+                    let target = 1_000 + 100 * operator as i64 + change;
+                    let base = written(&memory).version;
+                    let document = path::document(target);
+                    if let Ok(version) = config.change(base, document).await {
+                        let before = accepted.lock().unwrap().insert(version, target);
+                        assert_eq!(before, None, "version {version} was accepted twice");
+                    }
+                }
+            }));
+        }
+        for operator in operators {
+            operator.await.unwrap();
+        }
+        let accepted = accepted.lock().unwrap();
+        assert!(!accepted.is_empty());
+        let last = written(&memory);
+        if let Some(target) = accepted.get(&last.version) {
+            assert_eq!(last.document.classes[0].target_ms, *target);
+        }
+        assert!(accepted.keys().max() <= Some(&last.version));
+    });
+}
+
+#[test]
+fn change_whose_answer_was_lost_is_accepted_once_it_is_seen() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let faults = |operation| match operation {
+            Operation::Write => Fault::AnswerLost,
+            Operation::Read => Fault::None,
+        };
+        let config = config::open(memory.failing(Box::new(faults)).table);
+        assert_eq!(config.change(1, path::document(900)).await, Ok(2));
+        assert_eq!(written(&memory).version, 2);
+        assert_eq!(config.version(), 2, "in force where it was accepted");
+    });
+}
+
+#[test]
+fn change_that_may_yet_take_effect_is_neither_accepted_nor_refused() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let faults = |operation| match operation {
+            Operation::Write => Fault::Lost,
+            Operation::Read => Fault::None,
+        };
+        let config = config::open(memory.failing(Box::new(faults)).table);
+        let ended = config.change(1, path::document(900)).await;
+        assert_eq!(ended, Err((Code::ChangeUnknown, Vec::new())));
+        assert_eq!(
+            config.version(),
+            0,
+            "nothing is in force that isn't written"
+        );
+    });
+}
+
+#[test]
+fn mistaken_document_never_reaches_the_table() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let config = config::open(memory.platform().table);
+        let before = memory.operations();
+        let (code, mistakes) = config.change(1, path::document(-5)).await.unwrap_err();
+        assert_eq!(code, Code::ConfigInvalid);
+        assert_eq!(mistakes.len(), 1);
+        assert_eq!(memory.operations(), before);
+    });
+}
+
+/// A change is in force for a moment, and then the old targets are back.
+/// A read that was slow brings the older document after a quicker read brought the newer one.
+#[test]
+fn read_that_comes_late_brings_nothing_back() {
+    support::block_on(async {
+        let reads: Arc<AtomicU64> = Arc::default();
+        let counting = reads.clone();
+        let mut table = Memory::open().platform().table;
+        table.get = Arc::new(move |key| {
+            let number = counting.fetch_add(1, Ordering::SeqCst);
+            let version = if number == 0 { 3 } else { 2 };
+            let value = class::Versioned {
+                version,
+                document: path::document(version as i64),
+            };
+            let row = Row {
+                key,
+                value: serde_json::to_string(&value).unwrap(),
+                revision: version,
+            };
+            Box::pin(async move { Ok(Some(row)) })
+        });
+        let config = config::open(table);
+        tokio::spawn(config.clone().run(quiet()));
+        support::until("a version", || config.version() == 3).await;
+        config.hear(4);
+        support::until("a late read", || reads.load(Ordering::SeqCst) >= 2).await;
+        config.offer(class::Versioned::default());
+        assert_eq!(config.version(), 3);
+        assert_eq!(config.get().unwrap().document.classes[0].target_ms, 3);
+    });
+}
+
+async fn open(id: &str, platform: platform::Platform) -> entry::Entry {
+    let cfg = path::entry_config(id);
+    let messages = count::Messages::default();
+    entry::open(cfg, platform, messages).await.unwrap()
+}
+
+async fn get(entry: &entry::Entry, path: &str) -> (u16, Value) {
+    let uri = format!("http://{}{path}", entry.http_addr());
+    let call = http::Call::new(Method::GET, uri, "");
+    let answer = http::open(1 << 20).call(call, support::HANG).await.unwrap();
+    let body = serde_json::from_slice(&answer.body).unwrap();
+    (answer.status.as_u16(), body)
+}
+
+async fn change(entry: &entry::Entry, base: u64, target_ms: i64) -> Value {
+    let document = serde_json::to_value(path::document(target_ms)).unwrap();
+    let body = serde_json::json!({ "base": base, "document": document }).to_string();
+    let uri = format!("http://{}/v1/config", entry.http_addr());
+    let call = http::Call::new(Method::PUT, uri, body);
+    let answer = http::open(1 << 20).call(call, support::HANG).await.unwrap();
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+async fn until_version(entry: &entry::Entry, version: u64) {
+    while get(entry, "/v1/config").await.1["version"] != version {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+/// An entry behind a broken route to the table serves by old targets for as long as that lasts.
+/// Its links to other entries work, but they told only that there is a newer version.
+#[test]
+fn entry_that_cant_read_the_table_gets_the_document_from_a_peer() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let first = open("entry-0", memory.platform()).await;
+        support::until("an owner", || first.owns_any()).await;
+        let cut: Arc<AtomicBool> = Arc::default();
+        let cutting = cut.clone();
+        let faults = move |_| {
+            if cutting.load(Ordering::SeqCst) {
+                Fault::Down
+            } else {
+                Fault::None
+            }
+        };
+        let second = open("entry-1", memory.failing(Box::new(faults))).await;
+        support::until("the second is ready", || second.is_ready()).await;
+        cut.store(true, Ordering::SeqCst);
+        assert_eq!(change(&first, 1, 700).await["version"], 2);
+        until_version(&second, 2).await;
+        // And the other way round: the owner is cut off, the change comes in at the other entry.
+        let status = get(&second, "/v1/status").await.1;
+        assert_eq!(status["stragglers"], serde_json::json!([]));
+        assert_eq!(status["other_versions"]["entry-0"], 2);
+    });
+}
+
+/// The owner is cut off from the table and a change comes in at another entry.
+#[test]
+fn owner_that_cant_read_the_table_gets_the_document_from_a_peer() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let cut: Arc<AtomicBool> = Arc::default();
+        let cutting = cut.clone();
+        let faults = move |_| {
+            if cutting.load(Ordering::SeqCst) {
+                Fault::Down
+            } else {
+                Fault::None
+            }
+        };
+        let owner = open("entry-0", memory.failing(Box::new(faults))).await;
+        support::until("an owner", || owner.owns_any()).await;
+        let second = open("entry-1", memory.platform()).await;
+        support::until("the second is ready", || second.is_ready()).await;
+        while get(&owner, "/v1/status").await.1["other_versions"]["entry-1"] != 1 {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        cut.store(true, Ordering::SeqCst);
+        assert_eq!(change(&second, 1, 700).await["version"], 2);
+        until_version(&owner, 2).await;
+    });
+}
+
+#[test]
+fn nothing_is_served_before_there_is_a_version_and_a_restart_finds_the_newest() {
+    support::block_on(async {
+        let memory = Memory::open();
+        let entry = open("entry-0", memory.platform()).await;
+        let (status, body) = get(&entry, "/v1/config").await;
+        assert_eq!((status, &body["code"]), (503, &Value::from("LM2005")));
+        assert!(!entry.is_ready());
+        assert_eq!(change(&entry, 0, 700).await["version"], 1);
+        assert_eq!(change(&entry, 1, 800).await["version"], 2);
+        support::until("it serves", || entry.is_ready()).await;
+        entry.kill();
+        let again = open("entry-0", memory.platform()).await;
+        support::until("it serves", || again.is_ready()).await;
+        assert_eq!(get(&again, "/v1/config").await.1["version"], 2);
+    });
+}
+
+#[test]
+fn entry_that_stays_behind_shows_as_a_straggler() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let owner = open("entry-0", memory.platform()).await;
+        support::until("an owner", || owner.owns_any()).await;
+        let (tx, rx) = tokio::sync::mpsc::unbounded_channel();
+        let ends = link::Peer {
+            take: Arc::new(|_: Value| {}),
+            group: Arc::new(|items: Vec<peer::Passed>| peer::Down {
+                entry: "entry-9".into(),
+                link: 5,
+                config: 1,
+                items,
+            }),
+            sent: Arc::new(|_, _| {}),
+            closed: Box::new(|| {}),
+        };
+        let hello = peer::Hello {
+            entry: "entry-9".into(),
+            link: 5,
+        };
+        let addr = owner.peer_addr().to_string();
+        link::connect(&addr, hello, rx, ends).await.unwrap();
+        tx.send(peer::Passed::Heartbeat).unwrap();
+        assert_eq!(change(&owner, 1, 700).await["version"], 2);
+        while get(&owner, "/v1/status").await.1["stragglers"] != serde_json::json!(["entry-9"]) {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    });
+}
--- /dev/null
+++ b/tests/config_head.rs
@@ -0,0 +1,77 @@
+//! When a process reads the watched rows for itself, and the bounds that follow.
+
+use std::time;
+
+use lovagemill::decide::head::{self, Sight};
+use lovagemill::wire::peer;
+
+fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+/// The longest way of a change: the owner reads just before it, looks again, its next message
+/// leaves after a heartbeat's pause, and the hearer reads rows and document.
+#[test]
+fn bounds_add_up_to_less_than_five_seconds() {
+    let reads = ms(2 * 500);
+    assert!(head::OWNER_LOOK + peer::HEARTBEAT + reads < ms(5_000));
+    assert!(head::LOOK + reads < ms(5_000));
+}
+
+#[test]
+fn first_read_is_due_at_once() {
+    let now = time::Instant::now();
+    assert_eq!(Sight::default().due_in(now, false), ms(0));
+    assert_eq!(Sight::default().due_in(now, true), ms(0));
+}
+
+#[test]
+fn fresh_news_of_the_same_rows_puts_a_read_off_but_not_an_owners() {
+    let start = time::Instant::now();
+    let mut sight = Sight::default();
+    assert!(sight.read(start, 7));
+    let later = start + ms(2_900);
+    assert!(!sight.hear(later, 7, ms(400)));
+    assert_eq!(sight.due_in(later, false), head::LOOK - ms(400));
+    assert_eq!(sight.due_in(later, true), ms(0));
+}
+
+/// An entry serves the old configuration for minutes.
+/// Its peer can't read the table any more, and went on telling the digest that it had. News carry
+/// the age of the read behind them, so old ones put nothing off.
+#[test]
+fn old_news_put_nothing_off() {
+    let start = time::Instant::now();
+    let mut sight = Sight::default();
+    sight.read(start, 7);
+    let later = start + ms(3_000);
+    assert!(!sight.hear(later, 7, ms(3_000)));
+    assert_eq!(sight.due_in(later, false), ms(0));
+}
+
+#[test]
+fn news_pass_on_the_age_of_the_read_they_come_from() {
+    let start = time::Instant::now();
+    let mut sight = Sight::default();
+    sight.read(start, 7);
+    sight.hear(start + ms(2_000), 7, ms(500));
+    assert_eq!(sight.tell(start + ms(2_200)), Some((7, ms(700))));
+}
+
+#[test]
+fn fresher_rows_that_differ_are_read_at_once_and_older_ones_are_not() {
+    let start = time::Instant::now();
+    let mut sight = Sight::default();
+    sight.read(start + ms(1_000), 7);
+    let now = start + ms(1_500);
+    assert!(sight.hear(now, 8, ms(100)), "read after this one's");
+    assert!(!sight.hear(now, 6, ms(900)), "read before this one's");
+}
+
+#[test]
+fn process_that_has_read_nothing_reads_at_the_first_news() {
+    let now = time::Instant::now();
+    let mut sight = Sight::default();
+    assert!(sight.hear(now, 0, ms(0)));
+    assert_eq!(sight.tell(now), None);
+}
