Find an accepted change whose answer was lost also under later ones

Cause: what became of a change was told from the newest document alone; where another had been accepted meanwhile, the operator heard 'refused' of a change that had been in force.

Change: the row with the newest version keeps the last 32 changes with a number that each operator drew; one read tells accepted, refused or still unknown.

--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -33,6 +33,9 @@
 /// Pause before a change whose answer was lost is looked for again.
 const RESOLVE: time::Duration = time::Duration::from_millis(300);
 
+/// Changes that are remembered with who made them.
+const MAX_CHANGES: usize = 32;
+
 /// How often a change whose answer was lost is looked for.
 const RESOLVE_TRIES: u32 = 5;
 
@@ -177,32 +180,51 @@
             document,
         };
         let value = serde_json::to_string(&next).map_err(|_| plain(code::Code::ConfigInvalid))?;
-        let mut tx = Transaction::put_if(rows::CONFIG, revision, value.clone());
+        let mut head = self.read_head().await.map_err(plain)?.unwrap_or_default();
+        // JSON numbers of other languages hold 53 bits.
+        let number = rand::random::<u64>() >> 11;
+        head.version = next.version;
+        head.changes.push((next.version, number));
+        let old = head.changes.len().saturating_sub(MAX_CHANGES);
+        head.changes.drain(..old);
+        let mut tx = Transaction::put_if(rows::CONFIG, revision, value);
         tx.writes.push(Write {
             key: rows::CONFIG_VERSION.into(),
-            value: Some(next.version.to_string()),
+            value: serde_json::to_string(&head).ok(),
         });
         match (self.table.commit)(tx).await {
             Ok(Commit::Done(_)) => {}
             Ok(Commit::Conflict(_)) => return Err(plain(code::Code::VersionConflict)),
             Err(platform::Error::NotDone) => return Err(plain(code::Code::StoreDown)),
-            Err(platform::Error::Unknown) => self.resolve(&value).await.map_err(plain)?,
+            Err(platform::Error::Unknown) => {
+                let found = self.resolve(next.version, number).await;
+                found.map_err(plain)?;
+            }
         }
         let version = next.version;
         self.offer(next);
         Ok(version)
     }
 
+    async fn read_head(&self) -> Result<Option<rows::ConfigHead>, code::Code> {
+        let row = (self.table.get)(rows::CONFIG_VERSION.into()).await;
+        let row = row.map_err(|_| code::Code::StoreDown)?;
+        Ok(row.and_then(|row| serde_json::from_str(&row.value).ok()))
+    }
+
     /// Reads whether a change whose answer was lost took effect.
-    async fn resolve(&self, value: &str) -> Result<(), code::Code> {
+    ///
+    /// Guards against a later change that hides it: the document alone would tell that another was
+    /// accepted, and this one would be refused although it had been in force.
+    async fn resolve(&self, version: id::Version, number: u64) -> Result<(), code::Code> {
         for _ in 0..RESOLVE_TRIES {
-            match (self.table.get)(rows::CONFIG.into()).await {
-                Ok(Some(row)) if row.value == value => return Ok(()),
-                Ok(Some(row)) if version_of(&row.value) >= version_of(value) => {
-                    return Err(code::Code::VersionConflict)
-                }
+            let head = self.read_head().await.ok().flatten().unwrap_or_default();
+            let change = head.changes.iter().find(|(of, _)| *of == version);
+            match change {
+                Some((_, found)) if *found == number => return Ok(()),
+                Some(_) => return Err(code::Code::VersionConflict),
                 // The write may still be under way, so "not there" proves nothing.
-                Ok(_) | Err(_) => tokio::time::sleep(RESOLVE).await,
+                None => tokio::time::sleep(RESOLVE).await,
             }
         }
         Err(code::Code::ChangeUnknown)
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -262,7 +262,8 @@
     fn head_changed(&self, found: &[platform::Row]) {
         for row in found {
             if row.key == rows::CONFIG_VERSION {
-                self.config.hear(row.value.parse().unwrap_or(0));
+                let head = serde_json::from_str::<rows::ConfigHead>(&row.value);
+                self.config.hear(head.unwrap_or_default().version);
             }
         }
         for (cell, place) in self.places().into_iter().enumerate() {
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -14,7 +14,7 @@
 /// Prefix of the few small rows that every entry watches with one scan.
 pub const HEAD: &str = "head/";
 
-/// The row that tells the newest version of the configuration; its value is the bare number.
+/// The row that tells the newest version of the configuration; its value is a [`ConfigHead`].
 ///
 /// It is written by the same transaction as [`CONFIG`], so that watching costs no read of the
 /// whole document.
@@ -67,6 +67,16 @@
     format_compact!("claim/{cell:05}/{epoch:012}/{group:012}")
 }
 
+/// The newest version of the configuration, and whose changes the last ones were.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigHead {
+    /// The version.
+    pub version: id::Version,
+    /// The last accepted changes: the version of each and the number that its operator drew, so
+    /// that a change whose answer was lost is found also under later ones.
+    pub changes: Vec<(id::Version, u64)>,
+}
+
 /// Who owns a cell.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Owner {
--- a/tests/config_force.rs
+++ b/tests/config_force.rs
@@ -98,6 +98,37 @@
     });
 }
 
+/// An operator is told that the change was refused, and it had been in force.
+/// The answer of the accepted write is lost, and another operator's change comes before the first
+/// one looks what became of it.
+#[test]
+fn change_whose_answer_was_lost_is_found_under_a_later_one() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let faults = |operation| match operation {
+            Operation::Write => Fault::AnswerLost,
+            Operation::Read => Fault::None,
+        };
+        let mut table = memory.failing(Box::new(faults)).table;
+        let (reading, looking) = (table.get.clone(), memory.clone());
+        table.get = Arc::new(move |key| {
+            let read = reading(key);
+            let memory = looking.clone();
+            Box::pin(async move {
+                if written(&memory).version == 2 {
+                    let other = config::open(memory.platform().table);
+                    assert_eq!(other.change(2, path::document(800)).await, Ok(3));
+                }
+                read.await
+            })
+        });
+        let config = config::open(table);
+        assert_eq!(config.change(1, path::document(900)).await, Ok(2));
+        assert_eq!(written(&memory).version, 3);
+    });
+}
+
 #[test]
 fn change_that_may_yet_take_effect_is_neither_accepted_nor_refused() {
     support::block_on(async {
