--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -19,10 +19,8 @@
     /// The configuration in force here; 0 before any was read.
     pub config_version: id::Version,
     /// The versions of the other entries, as last heard.
-    #[serde(default)]
     pub other_versions: BTreeMap<id::EntryId, id::Version>,
     /// Entries whose version is behind the newest that is known here.
-    #[serde(default)]
     pub stragglers: Vec<id::EntryId>,
     /// Whether it stops.
     pub draining: bool,
