Bound the bytes of a group on a link

Cause: up to 256 items left as one message whatever their size; ten submissions of 4 MiB that waited together went over the limit of 32 MiB, the link closed and its successor got the same message again.

Change: each item is weighed, and a message takes no more of them after 8 MiB. Measured: the new test fails with weightless items (nothing arrives, the link closes) and passes with weights.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -140,6 +140,7 @@
         }),
         take: Arc::new(move |down| taking.take(down)),
         sent: Arc::new(move |up, bytes| messages.sent(agent::kind_up(&up.notices), bytes)),
+        weigh: agent::weigh_notice,
     }
 }
 
--- a/src/entry/agent_link.rs
+++ b/src/entry/agent_link.rs
@@ -146,6 +146,7 @@
             let messages = strong.scope().messages.clone();
             Arc::new(move |down, bytes| messages.sent(agent::kind_down(&down.orders), bytes))
         },
+        weigh: agent::weigh_order,
         closed: {
             let closed = closed.clone();
             Box::new(move || closed.notify_one())
--- a/src/entry/inward.rs
+++ b/src/entry/inward.rs
@@ -92,6 +92,7 @@
             }
         }),
         sent: Arc::new(move |up, bytes| messages.sent(peer::kind_up(&up.items), bytes)),
+        weigh: peer::weigh_up,
     }
 }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -351,6 +351,7 @@
             }
         }),
         sent: Arc::new(move |down, bytes| messages.sent(peer::kind_down(&down.items), bytes)),
+        weigh: peer::weigh_down,
         closed: Box::new(move || {
             if closing.connection().link == number {
                 closing.lose();
--- a/src/wire/agent.rs
+++ b/src/wire/agent.rs
@@ -10,6 +10,7 @@
 use crate::decide::notice;
 use crate::decide::order;
 use crate::id;
+use crate::task;
 
 /// Silence after which the agent sends a heartbeat; two fit into [`SILENCE`].
 pub const HEARTBEAT: time::Duration = time::Duration::from_millis(700);
@@ -84,3 +85,30 @@
         count::Kind::Control
     }
 }
+
+/// Bytes that an item takes beside what varies, about.
+const ITEM: usize = 300;
+
+/// Bytes that a task takes in a list of tasks, about.
+const LISTED: usize = 120;
+
+/// About how many bytes an order takes on the wire.
+pub fn weigh_order(order: &order::Order) -> usize {
+    match order {
+        order::Order::Start(start) => ITEM + start.input.get().len(),
+        order::Order::Resolve(ids) => ids.len() * LISTED,
+        _ => ITEM,
+    }
+}
+
+/// About how many bytes a notice takes on the wire.
+pub fn weigh_notice(notice: &notice::Notice) -> usize {
+    match notice {
+        notice::Notice::Answer(answer) => match &answer.outcome {
+            task::Outcome::Done(value) => ITEM + value.get().len(),
+            task::Outcome::Failed(_) => ITEM,
+        },
+        notice::Notice::Welcome(welcome) => ITEM + welcome.tasks.len() * LISTED,
+        _ => ITEM,
+    }
+}
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -6,6 +6,7 @@
 //! of the same moment are grouped without any added delay. A link promises nothing about loss;
 //! both users of it ask again by key after a reconnect.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net;
 use std::sync::Arc;
@@ -28,6 +29,9 @@
 /// Most items that one message may carry.
 const MAX_GROUP: usize = 256;
 
+/// Bytes of items after which a message carries no more of them.
+const MAX_GROUP_BYTES: usize = 8 * 1024 * 1024;
+
 /// Largest message, in bytes.
 const MAX_MESSAGE: u32 = 32 * 1024 * 1024;
 
@@ -77,6 +81,9 @@
 /// Counts a message that leaves, with its bytes.
 pub type Sent<Out> = Arc<dyn Fn(&Out, usize) + Send + Sync>;
 
+/// Tells about how many bytes an item takes on the wire.
+pub type Weigh<Item> = fn(&Item) -> usize;
+
 /// Groups the items of one link into one message.
 pub type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
 
@@ -93,6 +100,8 @@
     pub take: Arc<dyn Fn(In) + Send + Sync>,
     /// Counts a message of the server that leaves, with its bytes.
     pub sent: Sent<Out>,
+    /// Weighs an item of the server.
+    pub weigh: Weigh<Item>,
 }
 
 /// Binds a server of links.
@@ -114,7 +123,7 @@
         .enable_ws_ping(pings())
         .ws_only()
         .build();
-    let inbox = inbox(service.take);
+    let inbox = inbox(service.take.clone());
     let layers = rpc::RpcServiceBuilder::new().layer_fn(move |inner| Inbox {
         inner,
         deliver: inbox.clone(),
@@ -125,7 +134,7 @@
         .build(addr)
         .await?;
     let addr = server.local_addr()?;
-    let module = module(service.greet, service.sent)?;
+    let module = module(service)?;
     let handle = server.start(module);
     Ok(Server { addr, handle })
 }
@@ -134,9 +143,35 @@
 struct Outbox<Item, Out> {
     group: Group<Item, Out>,
     sent: Sent<Out>,
+    weigh: Weigh<Item>,
+    rx: Receiver<Item>,
+    waiting: VecDeque<Item>,
 }
 
 impl<Item, Out: Serialize> Outbox<Item, Out> {
+    /// Waits for items and takes those that leave as one message; none once the link is let go.
+    ///
+    /// Guards against a group of items, each of a fair size, that makes a message over the limit:
+    /// the link would close, and its users would send the same items again in one group on the
+    /// next.
+    async fn next(&mut self) -> Vec<Item> {
+        if self.waiting.is_empty() {
+            let mut items = Vec::new();
+            self.rx.recv_many(&mut items, MAX_GROUP).await;
+            self.waiting.extend(items);
+        }
+        let mut bytes = 0;
+        let mut count = 0;
+        for item in &self.waiting {
+            bytes += (self.weigh)(item);
+            if count > 0 && bytes > MAX_GROUP_BYTES {
+                break;
+            }
+            count += 1;
+        }
+        self.waiting.drain(..count).collect()
+    }
+
     /// Groups and encodes items, and counts the message.
     fn encode(&self, items: Vec<Item>) -> serde_json::Result<Box<value::RawValue>> {
         let message = (self.group)(items);
@@ -146,15 +181,17 @@
     }
 }
 
-fn module<Hello, Item, Out>(
-    greet: Greet<Hello, Item, Out>,
-    sent: Sent<Out>,
+fn module<Hello, Item, In, Out>(
+    service: Service<Hello, Item, In, Out>,
 ) -> anyhow::Result<RpcModule<()>>
 where
     Hello: DeserializeOwned + Send + 'static,
     Item: Send + 'static,
     Out: Serialize + Send + 'static,
 {
+    let Service {
+        greet, sent, weigh, ..
+    } = service;
     let mut module = RpcModule::new(());
     module.register_subscription("open", "up", "close", move |params, pending, _, _| {
         let greet = greet.clone();
@@ -166,7 +203,14 @@
             };
             let (tx, rx) = mpsc::unbounded_channel();
             let group = greet(hello, tx);
-            write_up(pending, rx, Outbox { group, sent }).await;
+            let outbox = Outbox {
+                group,
+                sent,
+                weigh,
+                rx,
+                waiting: VecDeque::new(),
+            };
+            write_up(pending, outbox).await;
             // Without this the client would go on with a link that nobody serves any more.
             Err(core::SubscriptionError::from("the link is closed"))
         }
@@ -176,19 +220,18 @@
 
 async fn write_up<Item, Out: Serialize>(
     pending: PendingSubscriptionSink,
-    mut rx: Receiver<Item>,
-    outbox: Outbox<Item, Out>,
+    mut outbox: Outbox<Item, Out>,
 ) {
     let Ok(sink) = pending.accept().await else {
         return;
     };
     loop {
-        let mut items = Vec::new();
-        tokio::select! {
-            n = rx.recv_many(&mut items, MAX_GROUP) => if n == 0 {
-                return;
-            },
+        let items = tokio::select! {
+            items = outbox.next() => items,
             () = sink.closed() => return,
+        };
+        if items.is_empty() {
+            return;
         }
         let Ok(raw) = outbox.encode(items) else {
             return;
@@ -263,6 +306,8 @@
     pub group: Group<Item, Out>,
     /// Counts a message of the client that leaves, with its bytes.
     pub sent: Sent<Out>,
+    /// Weighs an item of the client.
+    pub weigh: Weigh<Item>,
     /// Runs once when the link is gone.
     pub closed: Box<dyn FnOnce() + Send>,
 }
@@ -297,12 +342,15 @@
     let outbox = Outbox {
         group: peer.group,
         sent: peer.sent,
+        weigh: peer.weigh,
+        rx,
+        waiting: VecDeque::new(),
     };
     let subscription: Subscription<In> = client.subscribe("open", params, "close").await?;
     tokio::spawn(async move {
         tokio::select! {
             () = read(subscription, peer.take) => {}
-            () = write_down(client, rx, outbox) => {}
+            () = write_down(client, outbox) => {}
         }
         (peer.closed)();
     });
@@ -342,14 +390,10 @@
     }
 }
 
-async fn write_down<Item, Out: Serialize>(
-    client: WsClient,
-    mut rx: Receiver<Item>,
-    outbox: Outbox<Item, Out>,
-) {
+async fn write_down<Item, Out: Serialize>(client: WsClient, mut outbox: Outbox<Item, Out>) {
     loop {
-        let mut items = Vec::new();
-        if rx.recv_many(&mut items, MAX_GROUP).await == 0 {
+        let items = outbox.next().await;
+        if items.is_empty() {
             return;
         }
         let mut params = ArrayParams::new();
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -120,3 +120,37 @@
         count::Kind::Control
     }
 }
+
+/// Bytes that an item takes beside what varies, about.
+const ITEM: usize = 300;
+
+/// About how many bytes an item to the owner takes on the wire.
+pub fn weigh_down(item: &Passed) -> usize {
+    match item {
+        Passed::Submit(_, submission) => {
+            let tasks = submission.job.tasks.iter();
+            ITEM + tasks
+                .map(|task| ITEM + task.input.get().len())
+                .sum::<usize>()
+        }
+        Passed::Config(_) => class::MAX_DOCUMENT_BYTES,
+        _ => ITEM,
+    }
+}
+
+/// About how many bytes an item of the owner takes on the wire.
+pub fn weigh_up(item: &Returned) -> usize {
+    match item {
+        Returned::Ending(_, ending) => match &**ending {
+            submission::Ending::Complete(answers) => {
+                ITEM + answers
+                    .iter()
+                    .map(|answer| answer.get().len())
+                    .sum::<usize>()
+            }
+            submission::Ending::Failed(_) => ITEM,
+        },
+        Returned::Config(_) => class::MAX_DOCUMENT_BYTES,
+        _ => ITEM,
+    }
+}
--- a/tests/config_force.rs
+++ b/tests/config_force.rs
@@ -318,6 +318,7 @@
                 items,
             }),
             sent: Arc::new(|_, _| {}),
+            weigh: |_| 1,
             closed: Box::new(|| {}),
         };
         let hello = peer::Hello {
--- a/tests/contract_link_limits.rs
+++ b/tests/contract_link_limits.rs
@@ -33,6 +33,7 @@
         }),
         take: Arc::new(|_: Vec<u64>| {}),
         sent: Arc::new(|_, _| {}),
+        weigh: |_| 1,
     };
     let server = link::bind(path::any(), service).await.unwrap();
     Host { server, tx, left }
@@ -51,6 +52,7 @@
         take: Arc::new(take),
         group: Arc::new(|items: Vec<u64>| items),
         sent: Arc::new(|_, _| {}),
+        weigh: |_| 1,
         closed: Box::new(move || closing.store(true, Ordering::SeqCst)),
     };
     let addr = host.server.addr().to_string();
@@ -130,3 +132,48 @@
         assert!(taken.load(Ordering::SeqCst) <= link::MAX_UNREAD as u64 + 1);
     });
 }
+
+/// Callers with large jobs get no answers, however long they wait.
+/// Several submissions of a fair size wait for one link and leave as one message over the limit.
+/// The link closes, its successor gets the same message, and so on for ever.
+#[test]
+fn large_items_that_wait_together_leave_in_several_messages() {
+    const LARGE: usize = 4 * 1024 * 1024;
+    const COUNT: usize = 10;
+    support::block_on(async {
+        let taken: Arc<Mutex<Vec<usize>>> = Arc::default();
+        let taking = taken.clone();
+        let service = link::Service {
+            greet: Arc::new(|(): (), tx: link::Sender<()>| {
+                // The link stays open for as long as somebody holds its sending half.
+                Arc::new(move |_: Vec<()>| drop(tx.clone()))
+            }),
+            take: Arc::new(move |items: Vec<String>| taking.lock().unwrap().push(items.len())),
+            sent: Arc::new(|(), _| {}),
+            weigh: |()| 1,
+        };
+        let server = link::bind(path::any(), service).await.unwrap();
+        let closed: Arc<AtomicBool> = Arc::default();
+        let closing = closed.clone();
+        let (tx, rx) = mpsc::unbounded_channel();
+        for _ in 0..COUNT {
+            tx.send("x".repeat(LARGE)).unwrap();
+        }
+        let peer = link::Peer {
+            take: Arc::new(|(): ()| {}),
+            group: Arc::new(|items: Vec<String>| items),
+            sent: Arc::new(|_, _| {}),
+            weigh: String::len,
+            closed: Box::new(move || closing.store(true, Ordering::SeqCst)),
+        };
+        let addr = server.addr().to_string();
+        link::connect(&addr, (), rx, peer).await.unwrap();
+        let count = || taken.lock().unwrap().iter().sum::<usize>();
+        support::until("all arrive", || {
+            count() == COUNT || closed.load(Ordering::SeqCst)
+        })
+        .await;
+        assert_eq!(count(), COUNT);
+        assert!(!closed.load(Ordering::SeqCst));
+    });
+}
--- a/tests/contract_links.rs
+++ b/tests/contract_links.rs
@@ -73,6 +73,7 @@
             messages.remove(0)
         }),
         sent: Arc::new(|_, _| {}),
+        weigh: |_| 1,
         closed: Box::new(move || closing.store(true, Ordering::SeqCst)),
     };
     let hello: Value = serde_json::from_str(hello).unwrap();
--- a/tests/contract_silence.rs
+++ b/tests/contract_silence.rs
@@ -111,6 +111,7 @@
             })
         }),
         sent: Arc::new(|_, _| {}),
+        weigh: |_| 1,
         take: Arc::new(move |down: agent::Down| {
             if taking.links.load(Ordering::SeqCst) > 1 {
                 down.orders.into_iter().for_each(|order| taking.obey(order));
@@ -214,6 +215,7 @@
                 })
             }),
             sent: Arc::new(|_, _| {}),
+            weigh: |_| 1,
             take: Arc::new(move |down: peer::Down| {
                 for item in down.items {
                     let Passed::Submit(seq, _) = item else {
