Carry large inputs and answers through the object store

Cause: an input or answer of any size up to the callers' and backend servers' limits travelled inside messages, up to three times, and a whole job's answer could go over a link's limit.

Ruled out: references in typed fields of submissions, starts and answers, which would have gone through owner, ledger and inheritance for no gain; references that callers or backend servers write, by which one customer could read another's objects. What they write is always stored as a value.

Change: inputs over 64 KiB and answers over 16 KiB are stored, a reference stands for them inside; inputs are removed once the job has ended, answers when nobody may ask for them any more. LM3006 where an answer can't be stored or fetched; LM2006 with nothing run where an input can't.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod join;
+mod large;
 mod spans;
 mod work;
 
@@ -64,7 +65,12 @@
     platform: platform::Platform,
     messages: count::Messages,
 ) -> anyhow::Result<Agent> {
-    let work = Work::open(cfg.clone(), rand::random(), messages.clone());
+    let work = Work::open(
+        cfg.clone(),
+        rand::random(),
+        platform.objects.clone(),
+        messages.clone(),
+    );
     let links = link::bind(cfg.link_addr, service(&work, messages)).await?;
     let announcing = announce::bind(cfg.announce_addr, work.clone()).await?;
     let cell = key::cell(&cfg.id, cfg.cells);
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
+use crate::agent::large;
 use crate::agent::spans::Hops;
 use crate::agent::Config;
 use crate::code;
@@ -22,6 +23,7 @@
 use crate::wire::backend;
 use crate::wire::http;
 use crate::wire::link;
+use crate::wire::platform;
 
 /// Silence of a backend server after which nothing new is sent to it.
 const BACKEND_SILENCE: time::Duration = time::Duration::from_secs(2);
@@ -34,6 +36,7 @@
     cfg: Config,
     incarnation: id::Incarnation,
     http: http::Client,
+    large: large::Large,
     messages: count::Messages,
     inner: Mutex<Inner>,
     changed: Notify,
@@ -71,8 +74,14 @@
 
 impl Work {
     /// Opens an agent's work for one life.
-    pub fn open(cfg: Config, incarnation: id::Incarnation, messages: count::Messages) -> Arc<Work> {
+    pub fn open(
+        cfg: Config,
+        incarnation: id::Incarnation,
+        objects: platform::Objects,
+        messages: count::Messages,
+    ) -> Arc<Work> {
         Arc::new(Work {
+            large: large::Large::open(objects),
             cfg,
             // JSON numbers of other languages hold 53 bits.
             incarnation: incarnation >> 11,
@@ -215,6 +224,14 @@
         let id = start.id.clone();
         let hops = Hops::begin(&start, since);
         let traceparent = hops.map(|hops| hops.traceparent());
+        let input = match self.large.input(start.input).await {
+            Ok(input) => input,
+            Err(code) => {
+                let outcome = task::Outcome::Failed(code);
+                self.finish(&id, outcome, time::Duration::ZERO);
+                return;
+            }
+        };
         self.messages.add(count::Kind::Backend, 2);
         let begun = time::Instant::now();
         let outcome = backend::run(
@@ -224,7 +241,7 @@
                 id: start.id,
                 customer: start.customer,
                 deadline_ms: start.deadline_ms,
-                input: start.input,
+                input,
                 traceparent: traceparent.or(start.traceparent),
             },
         )
@@ -232,7 +249,9 @@
         if let Some(hops) = hops {
             hops.record(&self.cfg.id, id.index, &outcome);
         }
-        self.finish(&id, outcome, begun.elapsed());
+        let ran = begun.elapsed();
+        let outcome = self.large.outcome(outcome).await;
+        self.finish(&id, outcome, ran);
     }
 
     fn finish(self: &Arc<Self>, id: &task::Id, outcome: task::Outcome, ran: time::Duration) {
@@ -307,6 +326,7 @@
         if now.saturating_duration_since(inner.swept) >= SWEEP {
             inner.swept = now;
             inner.ledger.sweep(now);
+            self.large.sweep(now);
         }
     }
 
--- a/src/code.rs
+++ b/src/code.rs
@@ -80,6 +80,7 @@
     AnswerTooLarge = 3003, 502, Failed, "a backend server's answer was over the limit; write large answers to the object store";
     AnswerTruncated = 3004, 502, Failed, "a backend server's answer broke off or wasn't JSON; see its own log";
     Cancelled = 3005, 409, Failed, "the job was cancelled after part of it ran";
+    AnswerInStore = 3006, 503, Failed, "a large answer can't be put into the object store or fetched from it; submit again under the same key to ask once more";
     WorkerLost = 4001, 502, Unknown, "a worker was lost with a task on it; the task may have run, check before you submit under a new key";
     MayHaveRun = 4002, 502, Unknown, "an entry and a worker were lost together; the submission may have run, check before you submit under a new key";
     AnswerGone = 4003, 410, Unknown, "the submission ran but its answer is no longer kept; check before you submit under a new key";
--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -11,9 +11,9 @@
 use anyhow::anyhow;
 use tokio::sync::Notify;
 
+use crate::backoff;
 use crate::class;
 use crate::code;
-use crate::controller::backoff;
 use crate::decide::config;
 use crate::id;
 use crate::wire::platform::{self, Commit, Transaction, Write};
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -9,7 +9,7 @@
 use anyhow::anyhow;
 use tokio::sync::Notify;
 
-use crate::controller::backoff;
+use crate::backoff;
 use crate::decide::inherit;
 use crate::id;
 use crate::wire::platform;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -1,6 +1,5 @@
 //! The loops that keep an entry's state: one file each, calling back through closures.
 
-pub mod backoff;
 pub mod claims;
 pub mod config;
 pub mod membership;
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3;
 
-use crate::controller::backoff;
+use crate::backoff;
 use crate::controller::roll;
 use crate::decide::head;
 use crate::decide::spread;
--- a/src/entry/agent_link.rs
+++ b/src/entry/agent_link.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::task::JoinHandle;
 
-use crate::controller::backoff;
+use crate::backoff;
 use crate::decide::delivery;
 use crate::decide::order::Order;
 use crate::entry::cell::{Cell, Scope};
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -9,9 +9,9 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::JoinHandle;
 
+use crate::backoff;
 use crate::class;
 use crate::clock;
-use crate::controller::backoff;
 use crate::controller::claims;
 use crate::controller::membership;
 use crate::count;
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -12,6 +12,7 @@
 use crate::count;
 use crate::decide::inherit;
 use crate::entry::core::Core;
+use crate::entry::offload;
 use crate::entry::operate;
 use crate::entry::spans;
 use crate::entry::status;
@@ -67,10 +68,11 @@
         }
     };
     match take(core, kind, hop, incoming).await {
-        Ok(submission) => {
+        Ok((submission, inputs)) => {
             let ending = core.run(submission.clone()).await;
+            offload::forget(&core.platform.objects, inputs, &ending);
             record(Some(&submission.key), ending.failure());
-            reply(&submission.key, &ending)
+            reply(core, &submission.key, &ending).await
         }
         Err(refusal) => {
             record(None, Some(refusal.code));
@@ -79,13 +81,14 @@
     }
 }
 
-/// Takes a submission through the filter chain.
+/// Takes a submission through the filter chain. Returns it with the names of inputs that were
+/// stored for it.
 async fn take(
     core: &Core,
     kind: filter::Kind,
     hop: Option<Hop>,
     incoming: Incoming,
-) -> Result<Arc<Submission>, Refusal> {
+) -> Result<(Arc<Submission>, Vec<CompactString>), Refusal> {
     let key = incoming
         .header(caller::IDEMPOTENCY_KEY)
         .map(CompactString::from);
@@ -107,9 +110,10 @@
         idempotent: false,
     };
     let draft = filter::pass(&cx, draft)?;
-    accept(draft)
-        .map(Arc::new)
-        .ok_or_else(|| Refusal::new(Code::BadJson))
+    let accepted = accept(draft);
+    let mut submission = accepted.ok_or_else(|| Refusal::new(Code::BadJson))?;
+    let inputs = offload::inputs(&core.platform.objects, &mut submission).await?;
+    Ok((Arc::new(submission), inputs))
 }
 
 /// Makes the submission of a draft that has passed the chain.
@@ -155,7 +159,7 @@
     match &*ending {
         // The caller got what it asked for; the code still tells whether anything had run.
         Ending::Failed(refusal) if is_cancelled(refusal) => Reply::json(StatusCode::OK, refusal),
-        Ending::Complete(_) | Ending::Failed(_) => reply(&key, &ending),
+        Ending::Complete(_) | Ending::Failed(_) => reply(core, &key, &ending).await,
     }
 }
 
@@ -164,13 +168,17 @@
 }
 
 /// The reply that an ending is to its caller.
-fn reply(key: &str, ending: &Ending) -> Reply {
+async fn reply(core: &Core, key: &str, ending: &Ending) -> Reply {
     match ending {
         Ending::Complete(answers) => {
+            let answers = match offload::answers(&core.platform.objects, answers).await {
+                Ok(answers) => answers,
+                Err(refusal) => return Reply::refusal(&refusal),
+            };
             let body = caller::JobAnswer {
                 key: key.split_once('/').map_or(key, |(_, key)| key).into(),
                 state: "complete".into(),
-                answers: answers.clone(),
+                answers,
             };
             Reply::json(StatusCode::OK, &body)
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod http;
 mod inward;
+mod offload;
 pub mod operate;
 mod peers;
 mod spans;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod standin;
 pub mod wire;
 
+pub mod backoff;
 pub mod class;
 pub mod cli;
 pub mod clock;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod http;
 pub mod link;
+pub mod objects;
 pub mod peer;
 pub mod platform;
 pub mod rows;
--- a/tests/contract_budget.rs
+++ b/tests/contract_budget.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time;
 
-use lovagemill::controller::backoff;
+use lovagemill::backoff;
 use lovagemill::count;
 use lovagemill::decide::budget;
 use lovagemill::entry;
