--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -5,22 +5,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time;
 
-use anyhow::anyhow;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::JoinHandle;
 
-use crate::backoff;
 use crate::class;
 use crate::clock;
-use crate::controller::claims;
 use crate::controller::membership;
 use crate::count;
 use crate::decide::action::{self, Action};
-use crate::decide::inherit;
 use crate::decide::notice;
 use crate::decide::order::Order;
 use crate::decide::owner;
 use crate::entry::agent_link::{self, AgentLink, LinkSender};
+use crate::entry::claiming;
 use crate::entry::spans;
 use crate::id;
 use crate::submission;
@@ -36,10 +33,6 @@
 /// Longest that acknowledgements wait for an order to ride with.
 const MAX_LAZY: time::Duration = time::Duration::from_secs(3);
 
-/// Pauses between attempts to read the claims, growing from the first to the second.
-const MIN_PAUSE: time::Duration = time::Duration::from_millis(50);
-const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
-
 /// Who waits for a job's ending.
 pub enum Waiter {
     /// A caller of this entry.
@@ -119,7 +112,7 @@
             cell.members_changed.clone(),
             Arc::new(membership_events(&cell)),
         )),
-        tokio::spawn(write_claims(Arc::downgrade(&cell), rx)),
+        tokio::spawn(claiming::write(Arc::downgrade(&cell), rx)),
         tokio::spawn(tick(Arc::downgrade(&cell))),
     ];
     *cell.tasks.lock().expect("the cell's tasks are whole") = spawned;
@@ -145,48 +138,6 @@
     }
 }
 
-async fn write_claims(cell: Weak<Cell>, rx: mpsc::UnboundedReceiver<action::Claim>) {
-    let Some(strong) = cell.upgrade() else {
-        return;
-    };
-    let old = strong.inherit_claims().await;
-    let scope = claims::Scope {
-        table: strong.scope.table.clone(),
-        cell: strong.scope.cell,
-        epoch: strong.scope.epoch,
-        revision: strong.scope.revision,
-    };
-    drop(strong);
-    let events = claim_events(&cell);
-    claims::run(scope, old.into(), rx, Arc::new(events)).await;
-}
-
-fn claim_events(cell: &Weak<Cell>) -> claims::Events {
-    let (written, refused, deposed) = (cell.clone(), cell.clone(), cell.clone());
-    claims::Events {
-        written: Box::new(move |keys, begun| {
-            let Some(cell) = written.upgrade() else {
-                return;
-            };
-            (cell.scope.proved)(begun);
-            cell.with(|owner, now| {
-                owner.table_seen(begun);
-                owner.claimed(now, keys);
-            });
-        }),
-        refused: Box::new(move |keys, code| {
-            if let Some(cell) = refused.upgrade() {
-                cell.with(|owner, now| owner.claim_refused(now, keys, code));
-            }
-        }),
-        deposed: Box::new(move || {
-            if let Some(cell) = deposed.upgrade() {
-                (cell.scope.deposed)();
-            }
-        }),
-    }
-}
-
 async fn tick(cell: Weak<Cell>) {
     let mut interval = tokio::time::interval(TICK);
     loop {
@@ -285,7 +236,7 @@
     }
 
     /// Feeds an event to the owner and does what it asks, in order.
-    fn with(&self, event: impl FnOnce(&mut owner::Owner, time::Instant)) {
+    pub fn with(&self, event: impl FnOnce(&mut owner::Owner, time::Instant)) {
         let mut owner = self.lock();
         let now = time::Instant::now();
         event(&mut owner, now);
@@ -405,35 +356,6 @@
         });
     }
 
-    /// Reads the claims of earlier owners; returns the rows, oldest first.
-    async fn inherit_claims(&self) -> Vec<claims::Written> {
-        let mut backoff = backoff::open(MIN_PAUSE, MAX_PAUSE);
-        loop {
-            match self.read_claims().await {
-                Ok((claims, old)) => {
-                    self.with(|owner, now| owner.claims(now, claims));
-                    return old;
-                }
-                Err(e) => log::warn!("claims of cell {} can't be read: {e}", self.scope.cell),
-            }
-            tokio::time::sleep(backoff.pause()).await;
-        }
-    }
-
-    async fn read_claims(&self) -> anyhow::Result<(Vec<inherit::Claimed>, Vec<claims::Written>)> {
-        let found = (self.scope.table.scan)(rows::claims(self.scope.cell)).await;
-        let found = found.map_err(|e| anyhow!("{e:?}"))?;
-        let mut all = Vec::new();
-        let mut old = Vec::new();
-        for row in found {
-            let group: Vec<inherit::Claimed> = serde_json::from_str(&row.value)?;
-            let at_ms = group.iter().map(|claim| claim.at_ms).max().unwrap_or(0);
-            old.push((row.key, time::Duration::from_millis(at_ms)));
-            all.extend(group);
-        }
-        Ok((all, old))
-    }
-
     /// Takes one message of an agent.
     pub fn take(&self, id: &id::AgentId, tx: &LinkSender, up: agent::Up) {
         if let Some(link) = self.links.lock().expect("the links are whole").get_mut(id) {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -1,7 +1,7 @@
 //! What the parts of an entry share, and how a submission finds the owner of its cell.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, Weak};
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use compact_str::CompactString;
@@ -13,6 +13,7 @@
 use crate::controller::ownership;
 use crate::count;
 use crate::entry::cell::{self, Cell, Waiter};
+use crate::entry::events;
 use crate::entry::inward;
 use crate::entry::peers::{self, Peers};
 use crate::entry::Config;
@@ -20,7 +21,6 @@
 use crate::key;
 use crate::refusal::Refusal;
 use crate::submission::{self, Submission};
-use crate::wire::peer;
 use crate::wire::platform;
 use crate::wire::rows;
 
@@ -82,7 +82,7 @@
                 addr: peer_addr,
             };
             let table = platform.table.clone();
-            let events = ownership_events(core);
+            let events = events::ownership(core);
             let nowhere = || Mutex::new(Place::Nowhere);
             Core {
                 config: config::open(table.clone()),
@@ -106,7 +106,7 @@
     /// Starts the loops.
     pub fn spawn(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
         vec![
-            tokio::spawn(self.config.clone().run(config_events(self))),
+            tokio::spawn(self.config.clone().run(events::config(self))),
             tokio::spawn(self.ownership.clone().run()),
             tokio::spawn(peers::tend(Arc::downgrade(self))),
         ]
@@ -230,54 +230,8 @@
         class.map_or(NO_OWNER_AFTER, |class| class.target().min(NO_OWNER_AFTER))
     }
 
-    fn configure(&self, config: &Arc<crate::class::Versioned>) {
-        for place in self.places() {
-            if let Place::Here(cell) = place {
-                cell.configure(config.clone());
-            }
-        }
-        if config.version == 1 || !self.owns_any() {
-            // Cells that were won before there was a configuration are taken up now.
-            self.ownership.look();
-        }
-        self.peers.announce_config();
-    }
-
-    /// Takes what another entry knows of the watched rows.
-    pub fn hear_head(&self, head: &peer::Head) {
-        let age = time::Duration::from_millis(head.age_ms);
-        self.ownership.hear(head.digest, age);
-    }
-
-    /// What other entries may be told of the watched rows.
-    pub fn tell_head(&self) -> Option<peer::Head> {
-        let (digest, age) = self.ownership.tell()?;
-        Some(peer::Head {
-            digest,
-            age_ms: age.as_millis() as u64,
-        })
-    }
-
-    /// Takes the watched rows after a change.
-    fn head_changed(&self, found: &[platform::Row]) {
-        for row in found {
-            if row.key == rows::CONFIG_VERSION {
-                let head = serde_json::from_str::<rows::ConfigHead>(&row.value);
-                self.config.hear(head.unwrap_or_default().version);
-            }
-        }
-        for (cell, place) in self.places().into_iter().enumerate() {
-            let key = rows::members(cell as id::Cell);
-            let row = found.iter().find(|row| row.key == key);
-            if let (Place::Here(owner), Some(row)) = (place, row) {
-                owner.members_row(row.revision);
-            }
-        }
-        self.peers.announce_head();
-    }
-
     /// Takes up a cell that this entry has won.
-    fn won(self: &Arc<Self>, cell: id::Cell, epoch: id::Epoch, revision: platform::Revision) {
+    pub fn won(self: &Arc<Self>, cell: id::Cell, epoch: id::Epoch, revision: platform::Revision) {
         let Some(config) = self.config.get() else {
             // Without a configuration nothing may be served. Forgetting the ownership makes the
             // look after the first configuration report it again.
@@ -322,7 +276,8 @@
         self.moved.notify_waiters();
     }
 
-    fn other(&self, cell: id::Cell, owner: &rows::Owner) {
+    /// Notes that another entry owns a cell.
+    pub fn other(&self, cell: id::Cell, owner: &rows::Owner) {
         let same = match self.place(cell) {
             Place::There(known) => known == *owner,
             Place::Here(_) | Place::Nowhere => false,
@@ -383,52 +338,6 @@
     }
 }
 
-fn ownership_events(core: &Weak<Core>) -> ownership::Events {
-    let (won, other, seen) = (core.clone(), core.clone(), core.clone());
-    let head = core.clone();
-    ownership::Events {
-        won: Box::new(move |cell, epoch, revision| {
-            if let Some(core) = won.upgrade() {
-                core.won(cell, epoch, revision);
-            }
-        }),
-        other: Box::new(move |cell, owner| {
-            if let Some(core) = other.upgrade() {
-                core.other(cell, owner);
-            }
-        }),
-        seen: Box::new(move |cell, begun| {
-            let Some(core) = seen.upgrade() else {
-                return;
-            };
-            if let Place::Here(owner) = core.place(cell) {
-                owner.table_seen(begun);
-            }
-        }),
-        head: Box::new(move |found| {
-            if let Some(core) = head.upgrade() {
-                core.head_changed(found);
-            }
-        }),
-    }
-}
-
-fn config_events(core: &Arc<Core>) -> config::Events {
-    let (changed, behind) = (Arc::downgrade(core), Arc::downgrade(core));
-    config::Events {
-        changed: Box::new(move |config| {
-            if let Some(core) = changed.upgrade() {
-                core.configure(&config);
-            }
-        }),
-        behind: Box::new(move |version| {
-            if let Some(core) = behind.upgrade() {
-                core.peers.want_config(version);
-            }
-        }),
-    }
-}
-
 /// Counts a submission as in flight for as long as its caller waits.
 struct Flight<'a>(&'a Core);
 
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -49,6 +49,12 @@
         ("POST", "/v1/drain") => operate::drain(core),
         ("GET", "/metrics") => Reply::text(StatusCode::OK, status::metrics(core)),
         ("GET", "/healthz") => Reply::text(StatusCode::OK, "ok\n".to_owned()),
+        ("GET", "/readyz/owner") if core.is_ready() && core.owns_any() => {
+            Reply::text(StatusCode::OK, "owner\n".to_owned())
+        }
+        ("GET", "/readyz/owner") => {
+            Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not an owner\n".to_owned())
+        }
         ("GET", "/readyz") if core.is_ready() => Reply::text(StatusCode::OK, "ready\n".to_owned()),
         ("GET", "/readyz") => {
             Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,7 +2,9 @@
 
 mod agent_link;
 mod cell;
+mod claiming;
 mod core;
+mod events;
 mod http;
 mod inward;
 mod offload;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -16,6 +16,7 @@
 use crate::submission::{Ending, Submission};
 use crate::wire::link;
 use crate::wire::peer::{self, Passed, Returned, SILENCE};
+use crate::wire::reach;
 
 /// How often the links are looked after.
 const TICK: time::Duration = time::Duration::from_millis(100);
@@ -308,9 +309,9 @@
         match connect(&core, &addr, &link).await {
             Ok(()) => core.ownership.trust(cell),
             Err(_) => {
-                let suspicion = match link::probe(&addr).await {
-                    link::Reach::Refused => Suspicion::Refusing,
-                    link::Reach::Open | link::Reach::Silent => Suspicion::Silent,
+                let suspicion = match reach::probe(&addr).await {
+                    reach::Reach::Refused => Suspicion::Refusing,
+                    reach::Reach::Open | reach::Reach::Silent => Suspicion::Silent,
                 };
                 core.ownership.suspect(cell, epoch, suspicion);
             }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,5 +8,6 @@
 pub mod objects;
 pub mod peer;
 pub mod platform;
+pub mod reach;
 pub mod rows;
 pub mod server;
--- a/tests/config_force.rs
+++ b/tests/config_force.rs
@@ -210,6 +210,13 @@
     (answer.status.as_u16(), body)
 }
 
+async fn ready_owner(entry: &entry::Entry) -> u16 {
+    let uri = format!("http://{}/readyz/owner", entry.http_addr());
+    let call = http::Call::new(Method::GET, uri, "");
+    let answer = http::open(1024).call(call, support::HANG).await.unwrap();
+    answer.status.as_u16()
+}
+
 async fn change(entry: &entry::Entry, base: u64, target_ms: i64) -> Value {
     let document = serde_json::to_value(path::document(target_ms)).unwrap();
     let body = serde_json::json!({ "base": base, "document": document }).to_string();
@@ -252,6 +259,8 @@
         let status = get(&second, "/v1/status").await.1;
         assert_eq!(status["stragglers"], serde_json::json!([]));
         assert_eq!(status["other_versions"]["entry-0"], 2);
+        assert_eq!(ready_owner(&first).await, 200);
+        assert_eq!(ready_owner(&second).await, 503);
     });
 }
 
