--- a/tests/contract_objects.rs
+++ b/tests/contract_objects.rs
@@ -210,7 +210,7 @@
         let parts = open().await;
         parts.agent_put_fails.store(true, Ordering::SeqCst);
         let (status, body) = parts.submit("a", &large()).await;
-        assert_eq!((status, &body["code"]), (503, &Value::from("LM3006")));
+        assert_eq!((status, &body["code"]), (503, &Value::from("LM3007")));
         assert_eq!(body["not_run"], false);
         assert_eq!(parts.runs.load(Ordering::SeqCst), 1);
     });
@@ -222,7 +222,7 @@
         let parts = open().await;
         parts.entry_get_fails.store(true, Ordering::SeqCst);
         let (status, body) = parts.submit("a", &large()).await;
-        assert_eq!((status, &body["code"]), (503, &Value::from("LM3006")));
+        assert_eq!((status, &body["code"]), (503, &Value::from("LM3007")));
         parts.entry_get_fails.store(false, Ordering::SeqCst);
         let (status, body) = parts.submit("a", &large()).await;
         assert_eq!(status, 200);
