--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,9 +2,12 @@
 
 mod agent_link;
 mod cell;
+mod claiming;
 mod core;
+mod events;
 mod http;
 mod inward;
+mod offload;
 pub mod operate;
 mod peers;
 mod spans;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod standin;
 pub mod wire;
 
+pub mod backoff;
 pub mod class;
 pub mod cli;
 pub mod clock;
