--- a/src/cli/command/work.rs
+++ b/src/cli/command/work.rs
@@ -7,7 +7,8 @@
 
 use crate::cli::client;
 use crate::cli::settings::{self, Mistakes};
-use crate::cli::ExitCode;
+use crate::cli::{self, ExitCode};
+use crate::code::Code;
 use crate::decide::{fleet, owner, queue};
 use crate::demo::{self, caller, deployment, report};
 use crate::standin::backend;
@@ -175,7 +176,8 @@
     let mut mistakes = Mistakes::default();
     let cfg = opts.work.resolve(&mut mistakes, opts.policy());
     mistakes.finish()?;
-    let report = demo::run(cfg).await?;
+    let report = demo::run(cfg).await;
+    let report = report.map_err(cli::coded(Code::NotReady))?;
     print(&report, opts.work.json)
 }
 
--- a/src/code.rs
+++ b/src/code.rs
@@ -93,6 +93,7 @@
     FileUnreadable = 6003, 400, NotRun, "the file can't be read; check its path and its permissions";
     CannotListen = 6004, 500, NotRun, "an address can't be listened at; check that it is this machine's and free";
     NotReached = 6005, 502, NotRun, "no connection could be made; check the address and the process behind it";
+    NotReady = 6006, 503, NotRun, "the demo's parts didn't get ready in time; try again on a machine that is less busy";
 }
 
 impl fmt::Display for Code {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -89,7 +89,9 @@
     let key = incoming
         .header(caller::IDEMPOTENCY_KEY)
         .map(CompactString::from);
+    // A header that is far longer than any trace context would be copied into every start.
     let sent = incoming.header(trace::TRACEPARENT);
+    let sent = sent.filter(|text| text.len() <= trace::MAX_TRACEPARENT);
     let traceparent = match hop {
         Some(hop) => Some(hop.traceparent()),
         None => sent.map(CompactString::from),
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -29,6 +29,9 @@
 /// Header: W3C trace context.
 pub const TRACEPARENT: &str = "traceparent";
 
+/// Longest trace context that is passed on, in bytes; version 00 has 55.
+pub const MAX_TRACEPARENT: usize = 128;
+
 /// Path of traces under an OTLP receiver's address.
 const PATH: &str = "/v1/traces";
 
