--- a/src/cli/command/work.rs
+++ b/src/cli/command/work.rs
@@ -211,11 +211,7 @@
         truth.add(counts);
     }
     let report = tally.report(&cfg, &truth, took);
-    if opts.backends.is_empty() {
-        print_uncounted(&report, opts.work.json)
-    } else {
-        print(&report, opts.work.json)
-    }
+    print_load(&report, !opts.backends.is_empty(), opts.work.json)
 }
 
 /// Takes the counts of all stand-in backend servers away.
@@ -227,39 +223,47 @@
     Ok(all)
 }
 
-/// What only the backend servers know, or the processes together.
-const UNCOUNTED: [&str; 8] = [
+/// What only all processes together know.
+const MESSAGES: [&str; 3] = ["messages", "messages_per_task", "wasted_per_task"];
+
+/// What only the backend servers know.
+const STARTS: [&str; 5] = [
     "tasks_started",
     "started_twice",
     "false_not_run",
     "work_after_leave",
-    "messages",
-    "messages_per_task",
-    "wasted_per_task",
     "slots_used",
 ];
 
-/// Prints a report of callers alone: what wasn't counted is left out, not shown as 0.
-fn print_uncounted(report: &report::Report, json: bool) -> anyhow::Result<ExitCode> {
+/// Prints the report of a load: what wasn't counted is left out, not shown as 0.
+fn print_load(report: &report::Report, counted: bool, json: bool) -> anyhow::Result<ExitCode> {
     if json {
         let mut value = serde_json::to_value(report)?;
-        for field in UNCOUNTED {
+        let unknown = if counted { &[][..] } else { &STARTS };
+        for field in MESSAGES.iter().chain(unknown) {
             value[field] = Value::Null;
         }
         println!("{}", serde_json::to_string_pretty(&value)?);
     } else {
-        let counted = |line: &&str| !line.starts_with("tasks ") && !line.starts_with("broken ");
-        for line in report.table().lines().filter(counted) {
-            println!("{line}");
-        }
+        print_load_table(report, counted);
+    }
+    Ok(exit_code(report))
+}
+
+fn print_load_table(report: &report::Report, counted: bool) {
+    let known =
+        |line: &&str| !line.starts_with("tasks ") && (counted || !line.starts_with("broken "));
+    for line in report.table().lines().filter(known) {
+        println!("{line}");
+    }
+    if counted {
+        let used = 100.0 * report.slots_used;
+        println!("tasks {}, slots used {used:.1}%", report.tasks_started);
+    } else {
         let (partial, foreign) = (report.partial_answers, report.foreign_answers);
         println!("partial answers {partial}, foreign answers {foreign}");
         println!("starts weren't counted; --backends names the stand-ins that know them");
     }
-    if report.violations() > 0 {
-        return Ok(ExitCode::Violation);
-    }
-    Ok(ExitCode::Success)
 }
 
 fn print(report: &report::Report, json: bool) -> anyhow::Result<ExitCode> {
@@ -268,8 +272,13 @@
     } else {
         println!("{}", report.table());
     }
+    Ok(exit_code(report))
+}
+
+fn exit_code(report: &report::Report) -> ExitCode {
     if report.violations() > 0 {
-        return Ok(ExitCode::Violation);
+        ExitCode::Violation
+    } else {
+        ExitCode::Success
     }
-    Ok(ExitCode::Success)
 }
