--- a/src/cli/command/status.rs
+++ b/src/cli/command/status.rs
@@ -53,6 +53,10 @@
         "entry {}, {state}, configuration version {}, {} in flight",
         status.entry, status.config_version, status.in_flight
     );
+    if !status.stragglers.is_empty() {
+        let list = status.stragglers.join(", ");
+        let _ = writeln!(out, "behind the newest configuration: {list}");
+    }
     for cell in &status.cells {
         write_cell(&mut out, cell);
     }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -73,7 +73,8 @@
     /// Its rack.
     pub rack: CompactString,
     /// `up`, `silent` while its link is gone, `draining` once it or its backend server stops, `away`
-    /// while no backend server has announced itself.
+    /// while no backend server has announced itself, `barred` while it looks sick, `probed` while a
+    /// little work tells whether it has recovered.
     pub state: CompactString,
     /// Slots of its backend server.
     pub slots: u32,
@@ -136,6 +137,8 @@
         fleet::State::Silent => "silent",
         fleet::State::Up if agent.load.draining => "draining",
         fleet::State::Up if agent.load.slots == 0 => "away",
+        fleet::State::Up if agent.limit == 0 => "barred",
+        fleet::State::Up if agent.limit < agent.load.slots => "probed",
         fleet::State::Up => "up",
     };
     AgentStatus {
--- a/tests/cli_output.rs
+++ b/tests/cli_output.rs
@@ -121,7 +121,8 @@
 
 #[test]
 fn a_status_is_shown_as_a_table() {
-    let status = r#"{"entry":"entry-1","config_version":3,"draining":false,"in_flight":2,
+    let status = r#"{"entry":"entry-1","config_version":3,
+        "other_versions":{"entry-2":2},"stragglers":["entry-2"],"draining":false,"in_flight":2,
         "cells":[{"cell":0,"owner":"entry-1","epoch":4,"owned":{"ready":true,"open_jobs":1,
             "waiting_tasks":5,"slots":8,"free_slots":0,
             "agents":{"agent-1":{"failure_domain":"poa-centro","rack":"rack-0","state":"up",
@@ -132,6 +133,7 @@
     let status: Status = serde_json::from_str(status).expect("a status");
     let expected = "\
 entry entry-1, serving, configuration version 3, 2 in flight
+behind the newest configuration: entry-2
 cell 0: owned by entry-1 at epoch 4
   ready, 1 open jobs, 5 waiting tasks, 0 of 8 slots free
 
