--- a/examples/fair_queue.rs
+++ b/examples/fair_queue.rs
@@ -1,9 +1,10 @@
-//! Fair shares of slot time without weights: one customer floods the queue, another sends little.
+//! Fair shares without weights: one customer floods the queue, another sends little.
 //!
 //! Run with `cargo run --example fair_queue`.
 
 use std::time;
 
+use lovagemill::decide::demand::{self, Demand};
 use lovagemill::decide::queue::{Policy, Queue, Waiting};
 use lovagemill::id;
 use lovagemill::task;
@@ -22,7 +23,17 @@
     };
     let deadline = now + time::Duration::from_secs(8);
     let tasks = (0..tasks).map(waiting).collect();
-    queue.push(&customer.into(), &job.into(), deadline, tasks);
+    queue.push(now, &customer.into(), &job.into(), deadline, tasks);
+}
+
+/// Tells the customers that fit beside the largest one from those that don't, by what they ask for.
+fn classify(queue: &mut Queue, now: time::Instant) {
+    let mut demand = Demand::open(now);
+    demand.offer(now, &"rede-estadual".into(), 1_000.0 * RUN.as_secs_f64());
+    demand.offer(now, &"canoas".into(), 10.0 * RUN.as_secs_f64());
+    for (customer, light) in demand.refresh(now + demand::REFRESH, 8) {
+        queue.classify(&customer, light);
+    }
 }
 
 /// Serves one task at a time and tells how many were served until a job's last task left.
@@ -31,6 +42,7 @@
     let mut queue = Queue::open(policy, now);
     push(&mut queue, now, "rede-estadual", "large", 1_000);
     push(&mut queue, now, "canoas", "small", 10);
+    classify(&mut queue, now);
     let (mut served, mut last) = (0, 0);
     while let Some(task) = queue.pop(|_| true) {
         served += 1;
@@ -39,6 +51,7 @@
             _ => "canoas".into(),
         };
         // The queue is told what a customer uses; it never asks for weights.
+        queue.started(&customer);
         queue.charge(now, &customer, RUN.as_secs_f64());
         if task.id.job == job {
             last = served;
--- a/examples/placement.rs
+++ b/examples/placement.rs
@@ -31,6 +31,7 @@
         },
         sent: 0,
         taken: task::Needs::default(),
+        limit: u32::MAX,
     }
 }
 
@@ -40,6 +41,7 @@
     for number in 0..11 {
         let accelerators = u32::from(number == 7);
         fleet.insert(
+            now,
             format!("agent-{number:02}").into(),
             agent(now, accelerators),
         );
@@ -71,6 +73,7 @@
 
     // Needs are matched against what is left; a task that fits nowhere is told apart from one that
     // must wait.
+    let now = time::Instant::now();
     let mut fleet = open(Placement::MostFree);
     let needs = task::Needs {
         accelerators: 1,
@@ -80,10 +83,10 @@
     assert_eq!(id, "agent-07");
     fleet.book(&id, &needs);
     assert!(!fleet.has_room(&needs), "the accelerator is taken");
-    assert!(fleet.could_ever_run(&needs), "but it comes free again");
+    assert!(fleet.could_ever_run(now, &needs), "but it comes free again");
     let two = task::Needs {
         accelerators: 2,
         ..task::Needs::default()
     };
-    assert!(!fleet.could_ever_run(&two), "nobody has two");
+    assert!(!fleet.could_ever_run(now, &two), "nobody has two");
 }
--- a/src/bench/messages.rs
+++ b/src/bench/messages.rs
@@ -96,6 +96,7 @@
             }
         }),
         sent: Arc::new(|_, _| {}),
+        weigh: agent::weigh_notice,
     }
 }
 
@@ -120,6 +121,7 @@
             (number, down)
         }),
         sent: Arc::new(|_, _| {}),
+        weigh: |orders| orders.iter().map(agent::weigh_order).sum(),
         closed: Box::new(|| {}),
     };
     link::connect(&addr, number, rx, peer).await?;
