Demo: inject faults by name, alone and in pairs

Cause: nothing but the plain path was ever tried. Change: a fault is a short closure on the running cluster; entries can run on threads of their own so that one can be paused; runs cut off, late answers, lost submissions, the configuration as seen from outside and the time to recover are counted apart from the system.

--- a/src/cli/command/work.rs
+++ b/src/cli/command/work.rs
@@ -9,7 +9,7 @@
 use crate::cli::settings::{self, Mistakes};
 use crate::cli::ExitCode;
 use crate::decide::{fleet, owner, queue};
-use crate::demo::{self, caller, deployment, report};
+use crate::demo::{self, caller, deployment, fault, pairs, report};
 use crate::standin::backend;
 use crate::standin::truth::{self, Truth};
 
@@ -96,6 +96,19 @@
     /// Write every claim ahead of its starts, whatever the key tells
     #[arg(long)]
     pub claims_ahead: bool,
+
+    /// Faults to inject while work is offered, separated by commas; docs/FAULTS.md describes them
+    #[arg(long, value_enum, value_delimiter = ',', value_name = "NAME")]
+    pub fault: Vec<fault::Fault>,
+
+    /// Run every fault alone and every pair (with --fault, those that hold one of the named), and
+    /// print a table in Markdown
+    #[arg(long)]
+    pub all_pairs: bool,
+
+    /// Runs of --all-pairs at a time
+    #[arg(long, default_value_t = 2, value_name = "N")]
+    pub at_once: usize,
 }
 
 /// `load`.
@@ -144,6 +157,7 @@
             small_load: small,
             policy,
             aged_keys: !self.plain_keys,
+            faults: Vec::new(),
             progress: !self.json,
         }
     }
@@ -173,12 +187,25 @@
 /// Returns mistaken settings, and parts that don't get ready.
 pub async fn demo(opts: &DemoOpts) -> anyhow::Result<ExitCode> {
     let mut mistakes = Mistakes::default();
-    let cfg = opts.work.resolve(&mut mistakes, opts.policy());
+    let mut cfg = opts.work.resolve(&mut mistakes, opts.policy());
     mistakes.finish()?;
+    cfg.faults.clone_from(&opts.fault);
+    if opts.all_pairs {
+        return all_pairs(&cfg, opts.at_once).await;
+    }
     let report = demo::run(cfg).await?;
     print(&report, opts.work.json)
 }
 
+async fn all_pairs(cfg: &demo::Config, at_once: usize) -> anyhow::Result<ExitCode> {
+    println!("{}", pairs::HEADING);
+    let each = |report: &report::Report| println!("{}", pairs::row(report));
+    match pairs::run(cfg, at_once, each).await? {
+        0 => Ok(ExitCode::Success),
+        _ => Ok(ExitCode::Violation),
+    }
+}
+
 /// Offers a workload to running entries.
 ///
 /// # Errors
@@ -197,13 +224,15 @@
     cfg.deployment.workers = 1;
     cfg.deployment.slots_per_worker = opts.slots;
     cfg.deployment.client_one_way = time::Duration::ZERO;
+    let entries = caller::Addrs::default();
+    entries.set(opts.entries.clone());
     let target = caller::Target {
-        entries: opts.entries.clone(),
+        entries,
         one_way: time::Duration::ZERO,
         slots: opts.slots,
         truth: None,
     };
-    let (tally, took) = demo::offer(&cfg, target).await;
+    let (tally, took) = demo::load(&cfg, target).await;
     let truth = Truth::default();
     for counts in take_counts(&opts.backends).await? {
         truth.add(counts);
@@ -226,11 +255,12 @@
 }
 
 /// What only the backend servers know, or the processes together.
-const UNCOUNTED: [&str; 8] = [
+const UNCOUNTED: [&str; 9] = [
     "tasks_started",
     "started_twice",
     "false_not_run",
     "work_after_leave",
+    "cut_off",
     "messages",
     "messages_per_task",
     "wasted_per_task",
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -1,6 +1,6 @@
 //! Callers: submit over real HTTP, resubmit under the same key, and check every answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use hyper::Method;
@@ -8,7 +8,7 @@
 use serde_json::value::to_raw_value;
 
 use crate::demo;
-use crate::demo::report::Tally;
+use crate::demo::tally::{self, Tally};
 use crate::demo::workload::Arrival;
 use crate::key;
 use crate::refusal::Refusal;
@@ -22,8 +22,8 @@
 /// Longest that a caller waits for one answer.
 const PATIENCE: time::Duration = time::Duration::from_secs(15);
 
-/// How often a caller submits under one key before it gives up.
-const MAX_TRIES: u32 = 6;
+/// How long a caller submits under one key before it gives up.
+const GIVE_UP: time::Duration = time::Duration::from_secs(30);
 
 /// Pause before a caller that lost its answer submits again.
 const RESUBMIT_AFTER: time::Duration = time::Duration::from_millis(100);
@@ -31,11 +31,39 @@
 /// Largest answer that a caller takes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
+/// Addresses of the entries (host and port), as the balancer has them; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Addrs {
+    inner: Arc<Mutex<Vec<String>>>,
+}
+
+impl Addrs {
+    /// Replaces the addresses.
+    pub fn set(&self, addrs: Vec<String>) {
+        *self.inner.lock().expect("the addresses are whole") = addrs;
+    }
+
+    /// All addresses.
+    pub fn all(&self) -> Vec<String> {
+        self.inner.lock().expect("the addresses are whole").clone()
+    }
+
+    /// Draws an address, another than the last one where there is another.
+    fn draw(&self, last: Option<&str>) -> String {
+        let mut addrs = self.all();
+        if addrs.len() > 1 {
+            addrs.retain(|addr| Some(addr.as_str()) != last);
+        }
+        let at = rand::rng().random_range(0..addrs.len());
+        addrs.swap_remove(at)
+    }
+}
+
 /// Whom callers call, and what they know of it.
 #[derive(Clone)]
 pub struct Target {
-    /// The entries (host and port).
-    pub entries: Vec<String>,
+    /// The entries.
+    pub entries: Addrs,
     /// One-way latency to them, part of the ideal.
     pub one_way: time::Duration,
     /// Slots in all, part of the ideal.
@@ -68,37 +96,95 @@
     Lost,
 }
 
+/// How a submission ended for its caller.
+#[derive(Clone, Debug)]
+pub enum Ended {
+    /// With the whole answer.
+    Complete,
+    /// With a refusal or failure.
+    Refused(Refusal),
+    /// Never.
+    GaveUp,
+}
+
 impl Caller {
     /// Submits one arrival until it has an ending, and tallies it.
     pub async fn submit(&self, arrival: Arrival, aged: bool) {
         let key = demo::mint(aged);
-        let (path, body) = body(&arrival);
         let begun = time::Instant::now();
-        for _ in 0..MAX_TRIES {
-            match self.attempt(&key, path, &body).await {
+        let (ended, tries) = self.run(&arrival, &key).await;
+        let took = begun.elapsed();
+        let ideal = self.ideal(&arrival);
+        let job = key::scoped(&arrival.customer, &key);
+        let flight = tally::Flight {
+            begun,
+            took,
+            ideal,
+            tries,
+        };
+        self.tally.ended(&arrival, job, &ended, flight);
+    }
+
+    /// Submits an arrival under a key until it has an ending, which is checked. Returns it and the
+    /// number of tries.
+    pub async fn run(&self, arrival: &Arrival, key: &str) -> (Ended, u32) {
+        let (path, body) = body(arrival);
+        let begun = time::Instant::now();
+        let mut last = None;
+        let mut tries = 0;
+        while begun.elapsed() < GIVE_UP {
+            let entry = self.target.entries.draw(last.as_deref());
+            tries += 1;
+            match self.attempt(&entry, key, path, &body).await {
                 Tried::Complete(answer) => {
-                    self.check(&arrival, &key, &answer);
-                    let ideal = self.ideal(&arrival);
-                    self.tally.complete(&arrival, begun.elapsed(), ideal);
-                    return;
+                    self.check(arrival, key, &answer);
+                    return (Ended::Complete, tries);
                 }
                 Tried::Refused(refusal) => {
-                    self.refused(&arrival, &key, &refusal);
-                    return;
+                    self.check_refusal(&arrival.customer, key, &refusal);
+                    return (Ended::Refused(refusal), tries);
                 }
                 Tried::Lost => {
-                    self.tally.resubmitted();
+                    last = Some(entry);
                     tokio::time::sleep(RESUBMIT_AFTER).await;
                 }
             }
         }
-        self.tally.gave_up(&arrival);
+        (Ended::GaveUp, tries)
+    }
+
+    /// Withdraws a job through any entry, and checks what is said of it.
+    pub async fn cancel(&self, customer: &str, key: &str) {
+        let entry = self.target.entries.draw(None);
+        let uri = format!("http://{entry}/v1/jobs/{key}?customer={customer}");
+        if let Some(truth) = &self.target.truth {
+            truth.cancelled(&key::scoped(customer, key));
+        }
+        let call = http::Call::new(Method::DELETE, uri, Vec::new());
+        let Ok(answer) = self.http.call(call, PATIENCE).await else {
+            return;
+        };
+        if let Ok(refusal) = serde_json::from_slice::<Refusal>(&answer.body) {
+            self.check_refusal(customer, key, &refusal);
+        }
     }
 
-    async fn attempt(&self, key: &str, path: &str, body: &[u8]) -> Tried {
-        let entries = &self.target.entries;
-        let at = rand::rng().random_range(0..entries.len());
-        let uri = format!("http://{}{path}", entries[at]);
+    /// Sends anything to one entry, for operators; none where no whole answer came.
+    pub async fn call(&self, entry: &str, call: http::Call) -> Option<http::Answer> {
+        let call = http::Call {
+            uri: format!("http://{entry}{}", call.uri),
+            ..call
+        };
+        self.http.call(call, PATIENCE).await.ok()
+    }
+
+    /// The entries, as the balancer has them.
+    pub fn entries(&self) -> &Addrs {
+        &self.target.entries
+    }
+
+    async fn attempt(&self, entry: &str, key: &str, path: &str, body: &[u8]) -> Tried {
+        let uri = format!("http://{entry}{path}");
         let call =
             http::Call::new(Method::POST, uri, body.to_vec()).header(caller::IDEMPOTENCY_KEY, key);
         let Ok(answer) = self.http.call(call, PATIENCE).await else {
@@ -136,21 +222,13 @@
         }
     }
 
-    fn refused(&self, arrival: &Arrival, key: &str, refusal: &Refusal) {
-        self.tally.refused(arrival, refusal);
+    /// Holds a "not run" against what has run, now and once more at the end.
+    fn check_refusal(&self, customer: &str, key: &str, refusal: &Refusal) {
         if !refusal.not_run {
             return;
         }
-        let job = key::scoped(&arrival.customer, key);
-        if self
-            .target
-            .truth
-            .as_ref()
-            .is_some_and(|truth| truth.starts_of(&job) > 0)
-        {
-            self.tally.false_not_run();
-        }
-        self.tally.said_not_run(job);
+        self.tally
+            .said_not_run(key::scoped(customer, key), refusal.code);
     }
 
     /// The shortest time in which a dispatcher without any cost could answer.
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -12,7 +12,9 @@
 use crate::class;
 use crate::count;
 use crate::decide::owner;
+use crate::demo::caller;
 use crate::demo::deployment::Deployment;
+use crate::demo::threads::{self, Threads};
 use crate::entry;
 use crate::standin::backend;
 use crate::standin::platform;
@@ -29,18 +31,19 @@
 
 /// An entry and the relays in front of it.
 pub struct EntryNode {
-    /// The entry.
-    pub entry: entry::Entry,
+    /// The entry; none once it died or stopped.
+    pub entry: Option<entry::Entry>,
     /// Between callers and the entry.
     pub callers: wan::Wan,
     /// Between other entries and the entry.
     pub peers: wan::Wan,
+    threads: Option<Threads>,
 }
 
 /// A worker: agent, backend server, and the relay in front of the agent.
 pub struct WorkerNode {
-    /// The agent.
-    pub agent: agent::Agent,
+    /// The agent; none once it died or stopped.
+    pub agent: Option<agent::Agent>,
     /// The backend server.
     pub backend: backend::Backend,
     /// Between owners and the agent.
@@ -51,6 +54,28 @@
     pub domain: usize,
 }
 
+/// How a part goes down.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Death {
+    /// Its process dies; its machine refuses connections.
+    Process,
+    /// Its machine is gone; connections to it get no answer.
+    Machine,
+}
+
+/// What a cluster is opened with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Sizes and latencies.
+    pub deployment: Deployment,
+    /// Who goes next and where to.
+    pub policy: owner::Policy,
+    /// How long a stopping agent waits for its answers to be acknowledged.
+    pub linger: time::Duration,
+    /// Whether each entry runs on threads of its own, so that it can be paused.
+    pub own_threads: bool,
+}
+
 /// Running parts.
 pub struct Cluster {
     /// The platform.
@@ -59,33 +84,39 @@
     pub entries: Vec<EntryNode>,
     /// The workers.
     pub workers: Vec<WorkerNode>,
+    setup: Setup,
+    truth: Truth,
+    addrs: caller::Addrs,
     messages: Vec<count::Messages>,
 }
 
 /// Opens the parts of a deployment and waits until they are ready.
-pub async fn open(
-    deployment: &Deployment,
-    policy: owner::Policy,
-    truth: Truth,
-) -> anyhow::Result<Cluster> {
+///
+/// # Errors
+///
+/// Returns an error where a part can't be opened, or all of them don't get ready in time.
+pub async fn open(setup: Setup, truth: Truth) -> anyhow::Result<Cluster> {
+    let (workers, entries) = (setup.deployment.workers, setup.deployment.entries);
     let mut cluster = Cluster {
         platform: platform::bind(any()).await?,
         entries: Vec::new(),
         workers: Vec::new(),
+        setup,
+        truth,
+        addrs: caller::Addrs::default(),
         messages: Vec::new(),
     };
-    cluster.configure(&deployment.config).await?;
-    for number in 0..deployment.workers {
-        let node = cluster
-            .open_worker(deployment, number, truth.clone())
-            .await?;
+    cluster.configure().await?;
+    for number in 0..workers {
+        let node = cluster.open_worker(number).await?;
         cluster.workers.push(node);
     }
-    for number in 0..deployment.entries {
-        let node = cluster.open_entry(deployment, number, policy).await?;
+    for number in 0..entries {
+        let node = cluster.open_entry(number).await?;
         cluster.entries.push(node);
     }
-    cluster.ready(deployment.slots()).await?;
+    cluster.list();
+    cluster.ready().await?;
     Ok(cluster)
 }
 
@@ -94,12 +125,20 @@
 }
 
 impl Cluster {
-    /// Where callers connect.
-    pub fn entry_addrs(&self) -> Vec<String> {
-        self.entries
-            .iter()
-            .map(|node| node.callers.addr().to_string())
-            .collect()
+    /// Where callers connect; kept current as entries are replaced.
+    pub fn addrs(&self) -> caller::Addrs {
+        self.addrs.clone()
+    }
+
+    /// The failure domain of an entry.
+    pub fn domain_of(&self, entry: usize) -> usize {
+        entry % self.setup.deployment.failure_domains.len()
+    }
+
+    /// The entry that owns the cell, if one is there that does.
+    pub fn owner(&self) -> Option<usize> {
+        let owns = |node: &EntryNode| node.entry.as_ref().is_some_and(entry::Entry::owns_any);
+        self.entries.iter().position(owns)
     }
 
     /// Messages so far, by kind, over all parts.
@@ -126,14 +165,84 @@
     }
 
     /// Stops all parts at once.
-    pub async fn stop(self) {
-        for node in &self.entries {
-            node.entry.kill();
+    pub fn stop(&mut self) {
+        for number in 0..self.entries.len() {
+            self.kill_entry(number, Death::Process);
         }
-        for node in &self.workers {
-            node.agent.kill();
+        for node in &mut self.workers {
             node.backend.kill();
+            node.agent = None;
+        }
+    }
+
+    /// Ends an entry as a death would, without a word to anybody.
+    pub fn kill_entry(&mut self, number: usize, death: Death) {
+        let node = &mut self.entries[number];
+        // The balancer takes a dead entry out, so callers are refused either way.
+        node.callers.refuse();
+        match death {
+            Death::Process => node.peers.refuse(),
+            Death::Machine => node.peers.cut(true),
+        }
+        node.threads = None;
+        node.entry = None;
+    }
+
+    /// Ends a worker as a death would; counts it unless it was down.
+    pub fn kill_worker(&mut self, number: usize, death: Death) {
+        let node = &mut self.workers[number];
+        match death {
+            Death::Process => node.owners.refuse(),
+            Death::Machine => node.owners.cut(true),
         }
+        node.backend.kill();
+        node.agent = None;
+        self.truth.worker_died();
+    }
+
+    /// Ends what is left of a worker that has left as planned.
+    pub fn retire_worker(&mut self, number: usize) {
+        let node = &mut self.workers[number];
+        node.agent = None;
+        node.backend.kill();
+    }
+
+    /// Takes an entry out of its place, to stop it as planned.
+    pub fn take_entry(&mut self, number: usize) -> Option<entry::Entry> {
+        self.entries[number].entry.take()
+    }
+
+    /// Puts a new life of an entry into its place.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it can't be opened.
+    pub async fn replace_entry(&mut self, number: usize) -> anyhow::Result<()> {
+        self.entries[number] = self.open_entry(number).await?;
+        self.list();
+        Ok(())
+    }
+
+    /// Puts a new life of a worker into its place.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it can't be opened.
+    pub async fn replace_worker(&mut self, number: usize) -> anyhow::Result<()> {
+        self.workers[number] = self.open_worker(number).await?;
+        Ok(())
+    }
+
+    /// Pauses an entry that runs on threads of its own.
+    pub fn pause_entry(&self, number: usize, pause: time::Duration) {
+        if let Some(threads) = &self.entries[number].threads {
+            threads.pause(pause);
+        }
+    }
+
+    fn list(&self) {
+        let addr = |node: &EntryNode| node.callers.addr().to_string();
+        self.addrs.set(self.entries.iter().map(addr).collect());
     }
 
     fn count(&mut self) -> count::Messages {
@@ -143,10 +252,10 @@
     }
 
     /// Writes the first configuration, as operators would have.
-    async fn configure(&mut self, document: &class::Document) -> anyhow::Result<()> {
+    async fn configure(&mut self) -> anyhow::Result<()> {
         let first = class::Versioned {
             version: 1,
-            document: document.clone(),
+            document: self.setup.deployment.config.clone(),
         };
         let addr = self.platform.addr().to_string();
         let platform = crate::wire::platform::connect(&addr, PLATFORM_LIMIT, self.count());
@@ -157,16 +266,12 @@
         Ok(())
     }
 
-    async fn open_entry(
-        &mut self,
-        deployment: &Deployment,
-        number: usize,
-        policy: owner::Policy,
-    ) -> anyhow::Result<EntryNode> {
+    async fn open_entry(&mut self, number: usize) -> anyhow::Result<EntryNode> {
         let messages = self.count();
         let addr = self.platform.addr().to_string();
         let platform = crate::wire::platform::connect(&addr, PLATFORM_LIMIT, messages.clone());
         let peer_port = free_port()?;
+        let deployment = &self.setup.deployment;
         let peers = wan::bind(peer_port, deployment.domain_one_way).await?;
         let cfg = entry::Config {
             id: format_compact!("entry-{number}"),
@@ -174,27 +279,30 @@
             peer_addr: peer_port,
             advertise: Some(peers.addr().to_compact_string()),
             cells: deployment.cells,
-            policy,
+            policy: self.setup.policy,
             drain: time::Duration::from_secs(30),
         };
-        let entry = entry::open(cfg, platform, messages).await?;
+        let opening = entry::open(cfg, platform, messages);
+        let (entry, threads) = if self.setup.own_threads {
+            let threads = threads::open()?;
+            (threads.run(opening).await??, Some(threads))
+        } else {
+            (opening.await?, None)
+        };
         let callers = wan::bind(entry.http_addr(), deployment.client_one_way).await?;
         Ok(EntryNode {
-            entry,
+            entry: Some(entry),
             callers,
             peers,
+            threads,
         })
     }
 
-    async fn open_worker(
-        &mut self,
-        deployment: &Deployment,
-        number: usize,
-        truth: Truth,
-    ) -> anyhow::Result<WorkerNode> {
+    async fn open_worker(&mut self, number: usize) -> anyhow::Result<WorkerNode> {
         let messages = self.count();
         let addr = self.platform.addr().to_string();
         let platform = crate::wire::platform::connect(&addr, PLATFORM_LIMIT, messages.clone());
+        let deployment = &self.setup.deployment;
         let rack = number / deployment.workers_per_rack;
         let domain = rack % deployment.failure_domains.len();
         let link_port = free_port()?;
@@ -207,7 +315,7 @@
             failure_domain: deployment.failure_domains[domain].into(),
             rack: format_compact!("rack-{rack}"),
             cells: deployment.cells,
-            linger: time::Duration::from_secs(15),
+            linger: self.setup.linger,
         };
         let agent = agent::open(cfg, platform, messages).await?;
         let cfg = backend::Config {
@@ -218,9 +326,9 @@
             connections: deployment.connections,
             capacity: deployment.capacity,
         };
-        let backend = backend::bind(cfg, truth).await?;
+        let backend = backend::bind(cfg, self.truth.clone()).await?;
         Ok(WorkerNode {
-            agent,
+            agent: Some(agent),
             backend,
             owners,
             rack,
@@ -229,15 +337,13 @@
     }
 
     /// Waits until one entry owns the cell, all entries know it, and all slots are there.
-    async fn ready(&self, slots: u32) -> anyhow::Result<()> {
+    async fn ready(&self) -> anyhow::Result<()> {
+        let slots = self.setup.deployment.slots();
         let deadline = tokio::time::Instant::now() + READY;
         loop {
-            let ready = self.entries.iter().all(|node| node.entry.is_ready());
-            let there: u32 = self
-                .entries
-                .iter()
-                .map(|node| node.entry.usable_slots())
-                .sum();
+            let entries = || self.entries.iter().filter_map(|node| node.entry.as_ref());
+            let ready = entries().all(entry::Entry::is_ready);
+            let there: u32 = entries().map(entry::Entry::usable_slots).sum();
             if ready && there >= slots {
                 return Ok(());
             }
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -3,12 +3,20 @@
 pub mod caller;
 pub mod cluster;
 pub mod deployment;
+pub mod fault;
+pub mod pairs;
+pub mod race;
 pub mod report;
+pub mod tally;
+pub mod threads;
 pub mod workload;
 
 use std::sync::Arc;
 use std::time;
 
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
 use crate::clock;
 use crate::decide::owner;
 use crate::key;
@@ -31,10 +39,28 @@
     pub policy: owner::Policy,
     /// Whether callers use keys that tell their age.
     pub aged_keys: bool,
+    /// Faults to inject while work is offered.
+    pub faults: Vec<fault::Fault>,
     /// Whether progress is shown on the terminal.
     pub progress: bool,
 }
 
+/// When the first fault is injected, as a share of the time that work is offered.
+const FIRST_FAULT: f64 = 0.25;
+
+/// Pause before the next fault, so that it meets the recovery of the one before.
+const NEXT_FAULT: time::Duration = time::Duration::from_millis(700);
+
+/// How long a fault lasts, as a share of the time that work is offered, and the bounds of that.
+const OUTAGE: f64 = 0.4;
+const MIN_OUTAGE: time::Duration = time::Duration::from_millis(500);
+const MAX_OUTAGE: time::Duration = time::Duration::from_secs(10);
+
+/// How long a stopping agent waits for its answers to be acknowledged: longer than owners keep
+/// them, or where faults are injected little, so that the wait ends in vain.
+const LINGER: time::Duration = time::Duration::from_secs(15);
+const FAULT_LINGER: time::Duration = time::Duration::from_secs(2);
+
 /// Runs a demo and reports.
 ///
 /// # Errors
@@ -42,29 +68,73 @@
 /// Returns an error where the parts can't be opened or never get ready.
 pub async fn run(cfg: Config) -> anyhow::Result<report::Report> {
     let truth = Truth::default();
-    let cluster = cluster::open(&cfg.deployment, cfg.policy, truth.clone()).await?;
+    let quiet = cfg.faults.is_empty();
+    let setup = cluster::Setup {
+        deployment: cfg.deployment.clone(),
+        policy: cfg.policy,
+        linger: if quiet { LINGER } else { FAULT_LINGER },
+        own_threads: cfg.faults.contains(&fault::Fault::Pause),
+    };
+    let cluster = cluster::open(setup, truth.clone()).await?;
     let before = cluster.messages();
+    let tally = Arc::new(tally::Tally::open());
     let target = caller::Target {
-        entries: cluster.entry_addrs(),
+        entries: cluster.addrs(),
         one_way: cfg.deployment.client_one_way,
         slots: cfg.deployment.slots(),
         truth: Some(truth.clone()),
     };
-    let (tally, took) = offer(&cfg, target).await;
+    let caller = caller::open(target, tally.clone());
+    let outage = cfg.duration.mul_f64(OUTAGE);
+    let scene = Arc::new(fault::Scene {
+        cluster: Mutex::new(cluster),
+        table: fault::Table::default(),
+        caller: caller.clone(),
+        deployment: cfg.deployment.clone(),
+        outage: outage.clamp(MIN_OUTAGE, MAX_OUTAGE),
+        tally: tally.clone(),
+    });
+    fault::arm(&scene).await;
+    let faults = tokio::spawn(inject(cfg.clone(), scene.clone()));
+    let took = offer(&cfg, caller, &tally).await;
+    faults.await??;
     let mut report = tally.report(&cfg, &truth, took);
+    let mut cluster = scene.cluster.lock().await;
     report.count_messages(cluster.messages_since(&before));
-    cluster.stop().await;
+    cluster.stop();
     Ok(report)
 }
 
-/// Offers a workload to running entries; returns what callers saw, and how long it took.
-pub async fn offer(cfg: &Config, target: caller::Target) -> (Arc<report::Tally>, time::Duration) {
-    let mut load = workload::open(&cfg.deployment, cfg.seed, cfg.dominant_load, cfg.small_load);
-    let tally = Arc::new(report::Tally::open());
+/// Injects the faults one after the other, and waits until all are over.
+async fn inject(cfg: Config, scene: Arc<fault::Scene>) -> anyhow::Result<()> {
+    let mut running = JoinSet::new();
+    let mut pause = cfg.duration.mul_f64(FIRST_FAULT);
+    for fault in &cfg.faults {
+        tokio::time::sleep(pause).await;
+        pause = NEXT_FAULT;
+        scene.tally.injected();
+        running.spawn(fault::inject(*fault, scene.clone()));
+    }
+    while let Some(over) = running.join_next().await {
+        over??;
+    }
+    Ok(())
+}
+
+/// Drives callers against running entries; returns what they saw, and how long it took.
+pub async fn load(cfg: &Config, target: caller::Target) -> (Arc<tally::Tally>, time::Duration) {
+    let tally = Arc::new(tally::Tally::open());
     let caller = caller::open(target, tally.clone());
+    let took = offer(cfg, caller, &tally).await;
+    (tally, took)
+}
+
+/// Offers a workload until every submission has ended. Returns how long that took.
+async fn offer(cfg: &Config, caller: caller::Caller, tally: &tally::Tally) -> time::Duration {
+    let mut load = workload::open(&cfg.deployment, cfg.seed, cfg.dominant_load, cfg.small_load);
     let begun = time::Instant::now();
     let mut due = begun;
-    let mut flights = tokio::task::JoinSet::new();
+    let mut flights = JoinSet::new();
     loop {
         let arrival = load.next();
         due += arrival.after;
@@ -84,7 +154,7 @@
     if cfg.progress {
         tally.end_progress();
     }
-    (tally, begun.elapsed())
+    begun.elapsed()
 }
 
 /// Mints a submission key; one that tells its age, or a plain random one.
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -1,69 +1,19 @@
 //! What came of a run: tallied at the callers and the stand-in backend servers, not by the system.
 
 use std::collections::BTreeMap;
-use std::io::{IsTerminal, Write};
-use std::sync::{Mutex, MutexGuard};
-use std::time;
 
-use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use crate::code;
-use crate::demo::workload::Arrival;
-use crate::demo::Config;
+use crate::demo::fault::Fault;
 use crate::id;
-use crate::refusal::Refusal;
-use crate::standin::truth::Truth;
-
-/// Ratios are recorded in thousandths.
-const RATIO_UNIT: f64 = 1_000.0;
-
-/// Largest ratio that is told apart from larger ones.
-const MAX_RATIO: u64 = 1_000_000;
-
-/// Pause between two lines of progress.
-const PROGRESS: time::Duration = time::Duration::from_millis(200);
-
-/// Counts what callers saw.
-pub struct Tally {
-    inner: Mutex<Inner>,
-}
-
-#[derive(Default)]
-struct Inner {
-    customers: BTreeMap<id::Customer, PerCustomer>,
-    codes: BTreeMap<String, u64>,
-    partial: u64,
-    foreign: u64,
-    false_not_run: u64,
-    resubmitted: u64,
-    not_run: Vec<id::JobKey>,
-    shown: Option<time::Instant>,
-}
-
-struct PerCustomer {
-    ratios: Histogram<u64>,
-    complete: u64,
-    failed: u64,
-    refused: u64,
-}
-
-impl Default for PerCustomer {
-    fn default() -> PerCustomer {
-        PerCustomer {
-            ratios: Histogram::new_with_max(MAX_RATIO, 3).expect("the bounds are valid"),
-            complete: 0,
-            failed: 0,
-            refused: 0,
-        }
-    }
-}
 
 /// A run's report, as `--json` prints it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
     /// The deployment.
     pub deployment: String,
+    /// The faults that were injected.
+    pub faults: Vec<Fault>,
     /// The seed of the workload.
     pub seed: u64,
     /// Work offered by the largest customer, as a share of the capacity.
@@ -78,6 +28,16 @@
     pub jobs_failed: u64,
     /// Jobs and requests refused with nothing run.
     pub jobs_refused: u64,
+    /// Jobs and requests of which nobody can tell whether they ran; part of `jobs_failed`.
+    pub jobs_unknown: u64,
+    /// Jobs that their callers withdrew; they enter no other count of jobs.
+    pub jobs_withdrawn: u64,
+    /// Jobs and requests that never got an ending; part of `jobs_failed`.
+    pub lost_submissions: u64,
+    /// Complete answers that came past the class target.
+    pub late_answers: u64,
+    /// Seconds from the first fault until service was back (`docs/FAULTS.md` defines it).
+    pub recover_seconds: Option<f64>,
     /// Submissions made again under the same key.
     pub resubmitted: u64,
     /// Refusals and failures by code.
@@ -94,6 +54,16 @@
     pub false_not_run: u64,
     /// Starts at a backend server more than 2 s after it left; must be 0.
     pub work_after_leave: u64,
+    /// Runs cut off though neither caller nor failure asked for it; must be 0.
+    pub cut_off: u64,
+    /// Changes of the configuration that were accepted in a race of operators.
+    pub config_changes: u64,
+    /// Broken promises about the configuration, as seen from outside; must be 0.
+    pub config_broken: u64,
+    /// Longest time from an acceptance until every entry had the version.
+    pub config_spread_seconds: f64,
+    /// All customers but the largest, as one.
+    pub small: CustomerReport,
     /// Per customer.
     pub customers: BTreeMap<id::Customer, CustomerReport>,
     /// Messages by kind.
@@ -125,141 +95,6 @@
     pub slot_seconds: f64,
 }
 
-impl Tally {
-    /// Opens an empty tally.
-    pub fn open() -> Tally {
-        Tally {
-            inner: Mutex::default(),
-        }
-    }
-
-    /// Counts a complete answer.
-    pub fn complete(&self, arrival: &Arrival, took: time::Duration, ideal: time::Duration) {
-        let ratio = took.as_secs_f64() / ideal.as_secs_f64().max(1e-6);
-        let mut inner = self.lock();
-        let customer = inner.customers.entry(arrival.customer.clone()).or_default();
-        customer.complete += 1;
-        customer
-            .ratios
-            .saturating_record((ratio * RATIO_UNIT) as u64);
-    }
-
-    /// Counts a refusal or failure.
-    pub fn refused(&self, arrival: &Arrival, refusal: &Refusal) {
-        let mut inner = self.lock();
-        let code: code::Code = refusal.code;
-        *inner.codes.entry(code.to_string()).or_default() += 1;
-        let customer = inner.customers.entry(arrival.customer.clone()).or_default();
-        if refusal.not_run {
-            customer.refused += 1;
-        } else {
-            customer.failed += 1;
-        }
-    }
-
-    /// Counts a caller that never got an ending.
-    pub fn gave_up(&self, arrival: &Arrival) {
-        let mut inner = self.lock();
-        *inner.codes.entry("none".to_owned()).or_default() += 1;
-        inner
-            .customers
-            .entry(arrival.customer.clone())
-            .or_default()
-            .failed += 1;
-    }
-
-    /// Counts an answer that lacked a task.
-    pub fn partial(&self) {
-        self.lock().partial += 1;
-    }
-
-    /// Counts an answer of another task.
-    pub fn foreign(&self) {
-        self.lock().foreign += 1;
-    }
-
-    /// Counts a "not run" of what had run.
-    pub fn false_not_run(&self) {
-        self.lock().false_not_run += 1;
-    }
-
-    /// Remembers a "not run" to be checked again at the end.
-    pub fn said_not_run(&self, job: id::JobKey) {
-        self.lock().not_run.push(job);
-    }
-
-    /// Counts a submission made again.
-    pub fn resubmitted(&self) {
-        self.lock().resubmitted += 1;
-    }
-
-    /// Shows how far a run is, on a terminal only.
-    pub fn show_progress(&self, elapsed: time::Duration, of: time::Duration) {
-        let mut inner = self.lock();
-        let recent = inner.shown.is_some_and(|at| at.elapsed() < PROGRESS);
-        if recent || !std::io::stderr().is_terminal() {
-            return;
-        }
-        inner.shown = Some(time::Instant::now());
-        let complete: u64 = inner.customers.values().map(|c| c.complete).sum();
-        let refused: u64 = inner.customers.values().map(|c| c.refused).sum();
-        let (elapsed, of) = (elapsed.as_secs(), of.as_secs());
-        eprint!("\r{elapsed:>4} of {of} s, {complete} complete, {refused} refused ");
-        let _ = std::io::stderr().flush();
-    }
-
-    /// Ends the line of progress.
-    pub fn end_progress(&self) {
-        if self.lock().shown.is_some() {
-            eprintln!();
-        }
-    }
-
-    /// Makes the report.
-    pub fn report(&self, cfg: &Config, truth: &Truth, took: time::Duration) -> Report {
-        let inner = self.lock();
-        let used = truth.slot_micros();
-        let late_starts = inner
-            .not_run
-            .iter()
-            .filter(|job| truth.starts_of(job) > 0)
-            .count() as u64;
-        let total = |f: fn(&PerCustomer) -> u64| inner.customers.values().map(f).sum();
-        let customer = |(name, c): (&id::Customer, &PerCustomer)| {
-            let micros = used.get(name).copied().unwrap_or(0);
-            (name.clone(), c.report(micros as f64 / 1e6))
-        };
-        let slot_time = f64::from(cfg.deployment.slots()) * cfg.duration.as_secs_f64();
-        Report {
-            deployment: cfg.deployment.name.to_owned(),
-            seed: cfg.seed,
-            dominant_load: cfg.dominant_load,
-            small_load: cfg.small_load,
-            seconds: took.as_secs_f64(),
-            jobs_complete: total(|c| c.complete),
-            jobs_failed: total(|c| c.failed),
-            jobs_refused: total(|c| c.refused),
-            resubmitted: inner.resubmitted,
-            codes: inner.codes.clone(),
-            tasks_started: truth.tasks_started(),
-            started_twice: truth.started_twice().len() as u64,
-            partial_answers: inner.partial,
-            foreign_answers: inner.foreign,
-            false_not_run: inner.false_not_run.max(late_starts),
-            work_after_leave: truth.broken().0,
-            customers: inner.customers.iter().map(customer).collect(),
-            messages: BTreeMap::new(),
-            messages_per_task: 0.0,
-            wasted_per_task: 0.0,
-            slots_used: used.values().sum::<u64>() as f64 / 1e6 / slot_time,
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().expect("the tally is whole")
-    }
-}
-
 /// All messages but those that stay on one machine, between agent and backend server.
 fn between_machines(messages: &BTreeMap<&'static str, u64>) -> u64 {
     let all: u64 = messages.values().sum();
@@ -276,21 +111,6 @@
     needless + beyond
 }
 
-impl PerCustomer {
-    fn report(&self, slot_seconds: f64) -> CustomerReport {
-        let ratio = |value: u64| value as f64 / RATIO_UNIT;
-        CustomerReport {
-            complete: self.complete,
-            failed: self.failed,
-            refused: self.refused,
-            ratio_p50: ratio(self.ratios.value_at_quantile(0.5)),
-            ratio_p99: ratio(self.ratios.value_at_quantile(0.99)),
-            ratio_max: ratio(self.ratios.max()),
-            slot_seconds,
-        }
-    }
-}
-
 impl Report {
     /// Adds what the system's parts counted.
     pub fn count_messages(&mut self, messages: BTreeMap<&'static str, u64>) {
@@ -307,6 +127,8 @@
             + self.foreign_answers
             + self.false_not_run
             + self.work_after_leave
+            + self.cut_off
+            + self.config_broken
     }
 
     /// A short table for people.
@@ -337,14 +159,17 @@
             self.resubmitted
         ));
         lines.push(format!(
-            "broken promises {} (started twice {}, partial {}, foreign {}, false not-run {}, after leave {})",
+            "broken promises {} (started twice {}, partial {}, foreign {}, false not-run {}, after leave {}, cut off {}, configuration {})",
             self.violations(),
             self.started_twice,
             self.partial_answers,
             self.foreign_answers,
             self.false_not_run,
-            self.work_after_leave
+            self.work_after_leave,
+            self.cut_off,
+            self.config_broken
         ));
+        lines.extend(self.fault_line());
         if !self.codes.is_empty() {
             let codes: Vec<_> = self
                 .codes
@@ -355,4 +180,20 @@
         }
         lines.join("\n")
     }
+
+    fn fault_line(&self) -> Option<String> {
+        let recover = self.recover_seconds?;
+        let mut line = format!(
+            "back {recover:.1} s after the first fault, unknown {}, lost {}, late {}",
+            self.jobs_unknown, self.lost_submissions, self.late_answers
+        );
+        if self.config_changes > 0 {
+            let spread = self.config_spread_seconds;
+            line += &format!(
+                ", {} configurations, each everywhere within {spread:.1} s",
+                self.config_changes
+            );
+        }
+        Some(line)
+    }
 }
--- a/src/demo/workload.rs
+++ b/src/demo/workload.rs
@@ -6,6 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::class;
 use crate::demo::deployment::Deployment;
 use crate::id;
 
@@ -34,6 +35,8 @@
     pub idempotent: bool,
     /// Run times of its tasks, in milliseconds.
     pub tasks: Vec<u64>,
+    /// The target of its class.
+    pub target: time::Duration,
     /// Tells its answers from others'.
     pub value: u64,
 }
@@ -85,6 +88,7 @@
             after: time::Duration::from_secs_f64(-unit.ln() / self.rate.max(1e-9)),
             customer: self.draw_customer(),
             class: class.into(),
+            target: self.target(class),
             request,
             idempotent: !request || self.rng.random_bool(0.7),
             tasks: (0..tasks).map(|_| self.draw_run()).collect(),
@@ -92,6 +96,11 @@
         }
     }
 
+    fn target(&self, class: &str) -> time::Duration {
+        let class = self.deployment.config.class(class);
+        class.map_or(class::MAX_TARGET, class::Class::target)
+    }
+
     fn draw_customer(&mut self) -> CompactString {
         if self.rng.random_bool(self.dominant) {
             return self.deployment.dominant.into();
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -211,11 +211,12 @@
         };
         let id = task::Id { job, index };
         self.count(&id);
-        let _running = Running::begin(&self.running);
+        let mut running = Running::begin(&self, &id);
         let conducts = self.conducts.lock().expect("the conduct is whole").clone();
         let conduct = conducts(&id);
         let begun = time::Instant::now();
         self.work(&input, conduct).await;
+        running.ended = true;
         self.truth
             .used(&customer, begun.elapsed().as_micros() as u64);
         self.answer(id, &input, conduct)
@@ -261,18 +262,29 @@
     }
 }
 
-/// Counts a run for as long as it lasts, also where its agent breaks the exchange off.
-struct Running<'a>(&'a AtomicU32);
+/// Counts a run for as long as it lasts, and notes it where its agent breaks the exchange off.
+struct Running<'a> {
+    inner: &'a Inner,
+    id: task::Id,
+    ended: bool,
+}
 
 impl<'a> Running<'a> {
-    fn begin(count: &'a AtomicU32) -> Running<'a> {
-        count.fetch_add(1, Ordering::SeqCst);
-        Running(count)
+    fn begin(inner: &'a Inner, id: &task::Id) -> Running<'a> {
+        inner.running.fetch_add(1, Ordering::SeqCst);
+        Running {
+            inner,
+            id: id.clone(),
+            ended: false,
+        }
     }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
+        self.inner.running.fetch_sub(1, Ordering::SeqCst);
+        if !self.ended && !self.inner.dead.load(Ordering::SeqCst) {
+            self.inner.truth.cut_off(&self.id);
+        }
     }
 }
--- a/src/standin/truth.rs
+++ b/src/standin/truth.rs
@@ -1,6 +1,6 @@
 //! What really happened, as the stand-in backend servers saw it, apart from the system's state.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use compact_str::CompactString;
@@ -20,7 +20,9 @@
     starts: HashMap<task::Id, u32>,
     started: HashMap<id::JobKey, u32>,
     work_after_leave: u64,
-    cut_off: u64,
+    cut_off: Vec<id::JobKey>,
+    workers_died: u64,
+    cancelled: HashSet<id::JobKey>,
     slot_micros: HashMap<id::Customer, u64>,
     by_backend: HashMap<CompactString, u64>,
 }
@@ -32,8 +34,8 @@
     pub starts: Vec<(task::Id, u32)>,
     /// Starts that came a few seconds after a leave.
     pub work_after_leave: u64,
-    /// Runs that were cut off.
-    pub cut_off: u64,
+    /// Jobs with a run that was cut off.
+    pub cut_off: Vec<id::JobKey>,
     /// Slot time by customer, in microseconds.
     pub slot_micros: HashMap<id::Customer, u64>,
 }
@@ -61,7 +63,7 @@
             *inner.slot_micros.entry(customer).or_default() += micros;
         }
         inner.work_after_leave += snapshot.work_after_leave;
-        inner.cut_off += snapshot.cut_off;
+        inner.cut_off.extend(snapshot.cut_off);
     }
 
     /// Counts a start.
@@ -77,9 +79,19 @@
         self.lock().work_after_leave += 1;
     }
 
-    /// Counts a run that was cut off.
-    pub fn cut_off(&self) {
-        self.lock().cut_off += 1;
+    /// Notes a run that was cut off by its agent while its backend server was alive.
+    pub fn cut_off(&self, id: &task::Id) {
+        self.lock().cut_off.push(id.job.clone());
+    }
+
+    /// Counts a worker that died unplanned.
+    pub fn worker_died(&self) {
+        self.lock().workers_died += 1;
+    }
+
+    /// Notes that a caller asked for a job to be withdrawn.
+    pub fn cancelled(&self, job: &id::JobKey) {
+        self.lock().cancelled.insert(job.clone());
     }
 
     /// Books slot time on a customer.
@@ -104,10 +116,24 @@
         self.lock().started.get(job).copied().unwrap_or(0)
     }
 
-    /// Starts after a leave, and runs that were cut off.
-    pub fn broken(&self) -> (u64, u64) {
+    /// Starts that came a few seconds after their backend server had left.
+    pub fn late_work(&self) -> u64 {
+        self.lock().work_after_leave
+    }
+
+    /// Jobs with a run that was cut off though no caller had cancelled them.
+    pub fn cut_off_jobs(&self) -> Vec<id::JobKey> {
         let inner = self.lock();
-        (inner.work_after_leave, inner.cut_off)
+        let uncalled = inner
+            .cut_off
+            .iter()
+            .filter(|job| !inner.cancelled.contains(*job));
+        uncalled.cloned().collect()
+    }
+
+    /// Workers that died unplanned.
+    pub fn workers_died(&self) -> u64 {
+        self.lock().workers_died
     }
 
     /// Slot time by customer, in microseconds.
--- a/src/standin/wan.rs
+++ b/src/standin/wan.rs
@@ -68,6 +68,13 @@
         self.inner.resets.send_modify(|n| *n += 1);
     }
 
+    /// Closes the open connections and the listener, as the death of a process does on a machine
+    /// that lives on: whoever connects from now on is refused.
+    pub fn refuse(&self) {
+        self.accepting.abort();
+        self.reset();
+    }
+
     /// Cuts both ways: open connections go silent and new ones get nothing; or joins them again,
     /// for new connections only.
     pub fn cut(&self, cut: bool) {
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -17,6 +17,7 @@
         small_load: 0.2,
         policy: owner::Policy::default(),
         aged_keys: true,
+        faults: Vec::new(),
         progress: false,
     };
     let report = demo::run(cfg).await.expect("the parts get ready");
