Take up a dead owner's task only from the life that reported it

Cause: a new owner kept which agent had reported a task, not in which life. Where that life ended before the caller submitted again, the owner asked the agent's next life, which had never seen the task and said so, and started the task a second time; where the agent stayed away, nobody was asked and the job waited for its whole target. Ruled out: the fence (epochs were right) and the claim (it was found). Change: what is inherited is bound to the life; a task of a life that the owner doesn't use ends its job at once as unknown.

--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -60,8 +60,8 @@
     Fresh,
     /// An earlier owner accepted it: where its tasks are, and whether the others may be started.
     Known {
-        /// Tasks that some agent remembers.
-        tasks: BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>,
+        /// Tasks that some agent remembered in a life of its.
+        tasks: BTreeMap<id::TaskIndex, (Life, ledger::Standing)>,
         /// True where tasks that no agent remembers provably never started.
         rest_startable: bool,
     },
@@ -79,7 +79,7 @@
     awaited: Option<BTreeSet<Life>>,
     lost: Vec<time::Duration>,
     claims: Option<HashMap<id::JobKey, Claimed>>,
-    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>>,
+    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (Life, ledger::Standing)>>,
 }
 
 impl Inheritance {
@@ -124,7 +124,7 @@
                 continue;
             }
             let job = self.seen.entry(id.job.clone()).or_default();
-            job.insert(id.index, (life.agent.clone(), *standing));
+            job.insert(id.index, (life.clone(), *standing));
         }
         if let Some(awaited) = &mut self.awaited {
             awaited.remove(life);
--- a/src/decide/owner/resume.rs
+++ b/src/decide/owner/resume.rs
@@ -7,6 +7,7 @@
 use crate::class;
 use crate::code;
 use crate::decide::action::{self, Action};
+use crate::decide::inherit;
 use crate::decide::job::{self, Progress};
 use crate::decide::ledger;
 use crate::decide::order;
@@ -22,7 +23,7 @@
         now: time::Instant,
         submission: Arc<submission::Submission>,
         waiter: action::Waiter,
-        tasks: BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>,
+        tasks: BTreeMap<id::TaskIndex, (inherit::Life, ledger::Standing)>,
         rest_startable: bool,
     ) {
         let class = self.config.document.class(&submission.job.class);
@@ -31,12 +32,16 @@
         job.waiters.push(waiter);
         let key = submission.key.clone();
         let mut asked: HashMap<id::AgentId, Vec<task::Id>> = HashMap::new();
-        let mut gone = false;
-        for (index, (agent, standing)) in &tasks {
+        let (mut gone, mut lost) = (false, false);
+        for (index, (life, standing)) in &tasks {
+            let agent = &life.agent;
             let Some(progress) = job.tasks.get_mut(*index as usize) else {
                 continue;
             };
             gone |= *standing == ledger::Standing::Gone;
+            // Guards against a life that reported a task and then ended: its successor, which has
+            // never seen the task, would have it started again.
+            lost |= !self.is_alive(life);
             *progress = Progress::Inherited {
                 agent: agent.clone(),
             };
@@ -54,8 +59,14 @@
         let missing = tasks.len() < job.tasks.len();
         self.deadlines.insert((job.deadline, key.clone()));
         self.jobs.insert(key.clone(), job);
-        if gone {
-            self.fail(now, &key, code::Code::AnswerGone);
+        if gone || lost {
+            let reason = if gone {
+                code::Code::AnswerGone
+            } else {
+                code::Code::WorkerLost
+            };
+            self.drop_waiting_as_unknown(&key);
+            self.fail(now, &key, reason);
             return;
         }
         if missing && !rest_startable {
@@ -70,6 +81,12 @@
         self.enqueue(now, &key);
     }
 
+    /// Tells whether a life of an agent still is the one that this owner uses.
+    fn is_alive(&self, life: &inherit::Life) -> bool {
+        let agent = self.fleet.get(&life.agent);
+        agent.is_some_and(|agent| agent.incarnation == life.incarnation)
+    }
+
     pub(super) fn drop_waiting_as_unknown(&mut self, key: &id::JobKey) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
--- a/src/standin/wan.rs
+++ b/src/standin/wan.rs
@@ -87,8 +87,7 @@
 
 impl Drop for Wan {
     fn drop(&mut self) {
-        self.accepting.abort();
-        self.cut(true);
+        self.refuse();
     }
 }
 
