Watch an owner's beats as soon as its heartbeat is late

Cause: an owner whose machine is gone refuses nothing; others first waited 2.5 s for its link, then up to 2 s for a new connection, and only then began to watch its beats in the table for 3 s. Ruled out: the table, which was up, and the takeover itself, which took 50 ms. Change: a heartbeat that is 0.5 s late begins the watch; one that comes ends it.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -15,7 +15,7 @@
 use crate::id;
 use crate::submission::{Ending, Submission};
 use crate::wire::link;
-use crate::wire::peer::{self, Passed, Returned, SILENCE};
+use crate::wire::peer::{self, Passed, Returned, LATE, SILENCE};
 
 /// How often the links are looked after.
 const TICK: time::Duration = time::Duration::from_millis(100);
@@ -235,6 +235,11 @@
         self.connection.lock().expect("the link is whole").clone()
     }
 
+    /// Tells whether a heartbeat is overdue.
+    fn is_late(&self) -> bool {
+        self.heard.lock().expect("the link is whole").elapsed() > LATE
+    }
+
     fn take(&self, core: &Weak<Core>, up: peer::Up) {
         self.hear();
         let connection = self.connection();
@@ -297,6 +302,13 @@
             log::warn!("link to the owner at {addr} went silent; it is replaced");
             link.lose();
         }
+        if link.is_late() {
+            // Guards against a machine that is gone: nothing refuses, so all that tells is beats
+            // that don't come, and the sooner they are watched the sooner the cell is taken.
+            core.ownership.suspect(cell, epoch, Suspicion::Silent);
+        } else {
+            core.ownership.trust(cell);
+        }
         return;
     }
     if link.connecting.swap(true, Ordering::SeqCst) {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -15,6 +15,9 @@
 /// Silence after which an owner sends a heartbeat to another entry.
 pub const HEARTBEAT: time::Duration = time::Duration::from_secs(1);
 
+/// Silence after which the other entry begins to watch whether the owner still beats in the table.
+pub const LATE: time::Duration = time::Duration::from_millis(1_500);
+
 /// Silence after which the other entry takes the link for dead.
 pub const SILENCE: time::Duration = time::Duration::from_millis(2_500);
 
