Say of a cancelled job only what is known of it

Cause: a cancellation answered "not run" in three places where that could not be known: an owner that had taken over and had not heard of the job, an entry whose link to the owner broke, and an owner that cancelled a waiting job, which a submission made again through a successor still ran. Ruled out: the order of cancel and start at the agents; every start was the first. The demo's relays learn their targets late, since ports that were free a moment ago had been taken.

--- a/src/code.rs
+++ b/src/code.rs
@@ -70,7 +70,6 @@
     StoreDown = 2006, 503, NotRun, "the platform's table can't be reached and the work isn't safe without it; come back after retry_after_ms";
     NoOwner = 2007, 503, NotRun, "the key's cell has no owner yet; come back after retry_after_ms";
     Expired = 2008, 503, NotRun, "the class target passed before a slot came free; come back after retry_after_ms";
-    CancelledBefore = 2009, 409, NotRun, "the job was cancelled before anything ran; use a new key to run it after all";
     WorkerBusy = 2010, 503, NotRun, "the worker had no slot left for the task; the system retries it elsewhere";
     StaleEpoch = 2011, 503, NotRun, "the start came from an owner of the past; the new owner decides";
     NotJoined = 2012, 503, NotRun, "the worker is joining, or its backend server has left; the system retries elsewhere";
@@ -79,12 +78,13 @@
     TaskTimeout = 3002, 504, Failed, "a task ran past the class target and was stopped";
     AnswerTooLarge = 3003, 502, Failed, "a backend server's answer was over the limit; write large answers to the object store";
     AnswerTruncated = 3004, 502, Failed, "a backend server's answer broke off or wasn't JSON; see its own log";
-    Cancelled = 3005, 409, Failed, "the job was cancelled after part of it ran";
+    Cancelled = 3005, 409, Failed, "the job was cancelled; part of it may have run";
     RetriesSpent = 3006, 502, Failed, "part of the job may have run, and workers turned the rest away more often than the retry budget allows; see the status of the backend servers";
     WorkerLost = 4001, 502, Unknown, "a worker was lost with a task on it; the task may have run, check before you submit under a new key";
     MayHaveRun = 4002, 502, Unknown, "an entry and a worker were lost together; the submission may have run, check before you submit under a new key";
     AnswerGone = 4003, 410, Unknown, "the submission ran but its answer is no longer kept; check before you submit under a new key";
     ForwardLost = 4004, 502, Unknown, "the owner of the key was lost; submit again under the same key";
+    JobUnknown = 4005, 404, Unknown, "the owner knows no such job, or couldn't be asked; it may have run, submit again under the same key to learn its ending";
     ConfigInvalid = 5001, 422, NotRun, "the configuration is refused; mend the places that are named";
     VersionConflict = 5002, 409, NotRun, "another change was accepted first; read the newest version and apply yours to it";
     ChangeUnknown = 5003, 504, Unknown, "the table's answer was lost; read the configuration to see whether the change took effect";
--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -126,10 +126,12 @@
     }
 
     /// The refusal with which the job fails for a reason, honest about what may have run.
+    ///
+    /// A cancelled job is never said not to have run: nothing that outlives this owner tells of the
+    /// cancellation, and a submission that is made again through a successor still runs.
     pub fn refusal(&self, reason: code::Code) -> refusal::Refusal {
         let ran = self.may_have_run();
         let code = match (reason, ran) {
-            (code::Code::Cancelled, false) => code::Code::CancelledBefore,
             (code::Code::TaskTimeout, false) => code::Code::Expired,
             // "Not run" is only ever said of a job no task of which was handed out.
             (code::Code::Expired, true) => code::Code::TaskTimeout,
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -61,7 +61,7 @@
             self.actions
                 .push(Action::Order(agent, order::Order::Cancel(key.clone())));
         }
-        let forget = refusal.not_run && refusal.code != code::Code::CancelledBefore;
+        let forget = refusal.not_run;
         self.end(now, key, submission::Ending::Failed(refusal));
         if forget {
             // Nothing ran, so a retry under the same key starts from nothing.
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -207,7 +207,8 @@
     /// Withdraws a job; the waiter is told how the job ended.
     pub fn cancel(&mut self, now: time::Instant, key: &id::JobKey, waiter: action::Waiter) {
         let Some(job) = self.jobs.get_mut(key) else {
-            self.refuse(waiter, refusal::Refusal::new(code::Code::NotFound));
+            // A successor knows the jobs of the owner before only once they are submitted again.
+            self.refuse(waiter, refusal::Refusal::new(code::Code::JobUnknown));
             return;
         };
         if let Some(ending) = &job.ending {
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -270,13 +270,12 @@
         let messages = self.count();
         let addr = self.platform.addr().to_string();
         let platform = crate::wire::platform::connect(&addr, PLATFORM_LIMIT, messages.clone());
-        let peer_port = free_port()?;
         let deployment = &self.setup.deployment;
-        let peers = wan::bind(peer_port, deployment.domain_one_way).await?;
+        let peers = wan::bind(deployment.domain_one_way).await?;
         let cfg = entry::Config {
             id: format_compact!("entry-{number}"),
             http_addr: any(),
-            peer_addr: peer_port,
+            peer_addr: any(),
             advertise: Some(peers.addr().to_compact_string()),
             cells: deployment.cells,
             policy: self.setup.policy,
@@ -289,7 +288,9 @@
         } else {
             (opening.await?, None)
         };
-        let callers = wan::bind(entry.http_addr(), deployment.client_one_way).await?;
+        peers.lead_to(entry.peer_addr());
+        let callers = wan::bind(deployment.client_one_way).await?;
+        callers.lead_to(entry.http_addr());
         Ok(EntryNode {
             entry: Some(entry),
             callers,
@@ -305,11 +306,10 @@
         let deployment = &self.setup.deployment;
         let rack = number / deployment.workers_per_rack;
         let domain = rack % deployment.failure_domains.len();
-        let link_port = free_port()?;
-        let owners = wan::bind(link_port, deployment.domain_one_way).await?;
+        let owners = wan::bind(deployment.domain_one_way).await?;
         let cfg = agent::Config {
             id: format_compact!("agent-{number:02}"),
-            link_addr: link_port,
+            link_addr: any(),
             announce_addr: any(),
             advertise: Some(owners.addr().to_compact_string()),
             failure_domain: deployment.failure_domains[domain].into(),
@@ -318,6 +318,7 @@
             linger: self.setup.linger,
         };
         let agent = agent::open(cfg, platform, messages).await?;
+        owners.lead_to(agent.link_addr());
         let cfg = backend::Config {
             id: format_compact!("backend-{number:02}"),
             addr: any(),
@@ -356,8 +357,3 @@
         }
     }
 }
-
-/// An address that was free a moment ago, for a part whose relay must be known before it starts.
-fn free_port() -> anyhow::Result<net::SocketAddr> {
-    Ok(net::TcpListener::bind(any())?.local_addr()?)
-}
--- a/src/demo/fault.rs
+++ b/src/demo/fault.rs
@@ -281,7 +281,7 @@
 async fn stragglers(scene: &Scene) {
     let straggles = |id: &crate::task::Id| {
         let text = format!("{}/{}", id.job, id.index);
-        crate::key::digest(text.as_bytes()) % STRAGGLERS == 0
+        crate::key::digest(text.as_bytes()).is_multiple_of(STRAGGLERS)
     };
     let behave = |conduct: Conduct| async move {
         let cluster = scene.cluster.lock().await;
--- a/src/demo/race.rs
+++ b/src/demo/race.rs
@@ -22,6 +22,9 @@
 /// Pause between looks at an entry.
 const LOOK: time::Duration = time::Duration::from_millis(50);
 
+/// Time without an answer from which an entry counts as having been silent.
+const SILENCE: time::Duration = time::Duration::from_secs(1);
+
 /// Within this, an accepted version has to be in force everywhere.
 const IN_FORCE: time::Duration = time::Duration::from_secs(5);
 
@@ -31,6 +34,8 @@
     accepted: Vec<(id::Version, class::Document, time::Instant)>,
     /// By address: when each version was first shown, and the newest.
     shown: BTreeMap<String, BTreeMap<id::Version, time::Instant>>,
+    /// By address: when it last answered, and when it last did so again after a silence.
+    heard: BTreeMap<String, (time::Instant, time::Instant)>,
     documents: BTreeMap<id::Version, class::Document>,
     broken: u64,
 }
@@ -113,6 +118,12 @@
 
 impl Seen {
     fn take(&mut self, entry: &str, shown: class::Versioned) {
+        let now = time::Instant::now();
+        let (last, back) = self.heard.entry(entry.to_owned()).or_insert((now, now));
+        if last.elapsed() > SILENCE {
+            *back = now;
+        }
+        *last = now;
         let versions = self.shown.entry(entry.to_owned()).or_default();
         if versions
             .keys()
@@ -122,9 +133,7 @@
             log::error!("{entry} went back to version {}", shown.version);
             self.broken += 1;
         }
-        versions
-            .entry(shown.version)
-            .or_insert_with(time::Instant::now);
+        versions.entry(shown.version).or_insert(now);
         let document = self
             .documents
             .entry(shown.version)
@@ -163,12 +172,14 @@
         race
     }
 
-    /// How long it took until an entry showed a version or a newer one. An entry that showed
-    /// nothing from the acceptance on was down, and serves nothing before it reads a version.
+    /// How long it took until an entry showed a version or a newer one, from its acceptance or, if
+    /// later, from when the entry was back from a silence, such as a pause.
     fn spread(&self, entry: &str, version: id::Version, at: time::Instant) -> time::Duration {
         let Some(versions) = self.shown.get(entry) else {
             return time::Duration::ZERO;
         };
+        let back = self.heard.get(entry).map_or(at, |(_, back)| *back);
+        let at = at.max(back);
         let newer = versions.range(version..).map(|(_, first)| *first).min();
         match newer {
             Some(first) => first.saturating_duration_since(at),
--- a/src/demo/tally.rs
+++ b/src/demo/tally.rs
@@ -190,6 +190,10 @@
 
     /// Makes the report.
     pub fn report(&self, cfg: &Config, truth: &Truth, took: time::Duration) -> Report {
+        let twice = truth.started_twice();
+        for id in &twice {
+            log::error!("task {} of {} was started twice", id.index, id.job);
+        }
         let inner = self.lock();
         let used = truth.slot_micros();
         let total = |f: fn(&PerCustomer) -> u64| inner.customers.values().map(f).sum();
@@ -217,7 +221,7 @@
             recover_seconds: inner.recover().map(|took| took.as_secs_f64()),
             codes: inner.codes.clone(),
             tasks_started: truth.tasks_started(),
-            started_twice: truth.started_twice().len() as u64,
+            started_twice: twice.len() as u64,
             partial_answers: inner.partial,
             foreign_answers: inner.foreign,
             false_not_run: inner.false_not_run(truth),
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -206,19 +206,30 @@
     }
 
     /// Withdraws a job, through whoever owns its cell.
+    ///
+    /// Doing so twice does no harm, so a cancellation that was lost with its owner is made again.
     pub async fn cancel(&self, key: id::JobKey) -> Arc<submission::Ending> {
         let cell = key::cell(&key, self.cfg.cells);
-        let ending = match self.place(cell) {
-            Place::Here(owner) => {
-                let (tx, rx) = oneshot::channel();
-                owner.cancel(&key, Waiter::Here(tx));
-                rx.await.ok()
+        let begun = time::Instant::now();
+        while begun.elapsed() < NO_OWNER_AFTER {
+            let ending = match self.place(cell) {
+                Place::Here(owner) => {
+                    let (tx, rx) = oneshot::channel();
+                    owner.cancel(&key, Waiter::Here(tx));
+                    rx.await.ok()
+                }
+                Place::There(owner) => self.peers.cancel(&owner.addr, key.clone()).await.1,
+                Place::Nowhere => None,
+            };
+            if let Some(ending) = ending {
+                return ending;
             }
-            Place::There(owner) => self.peers.cancel(&owner.addr, key).await.1,
-            Place::Nowhere => None,
-        };
-        let no_owner = || Refusal::new(code::Code::NoOwner).retry_after(LOOK_AGAIN);
-        ending.unwrap_or_else(|| Arc::new(submission::Ending::Failed(no_owner())))
+            self.ownership.look();
+            let _ = tokio::time::timeout(LOOK_AGAIN, self.moved.notified()).await;
+        }
+        // Whoever owns the job may have run it.
+        let unknown = Refusal::new(code::Code::JobUnknown).retry_after(LOOK_AGAIN);
+        Arc::new(submission::Ending::Failed(unknown))
     }
 
     /// How long a submission looks for an owner: within its target.
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -226,6 +226,7 @@
         self.truth.start(&self.cfg.id, id);
         let left = *self.left.lock().expect("the leave is whole");
         if left.is_some_and(|at| at.elapsed() > LEAVE_GRACE) {
+            log::error!("{} was sent work after it had left", self.cfg.id);
             self.truth.work_after_leave();
         }
     }
--- a/src/standin/wan.rs
+++ b/src/standin/wan.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time;
 
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 }
 
 struct Inner {
-    target: net::SocketAddr,
+    target: OnceLock<net::SocketAddr>,
     one_way: time::Duration,
     cut: AtomicBool,
     accepted: AtomicU64,
@@ -31,12 +31,12 @@
     resets: watch::Sender<u64>,
 }
 
-/// Binds a relay to `target` that takes `one_way` in each direction.
-pub async fn bind(target: net::SocketAddr, one_way: time::Duration) -> anyhow::Result<Wan> {
+/// Binds a relay that takes `one_way` in each direction; [`Wan::lead_to`] says where it leads.
+pub async fn bind(one_way: time::Duration) -> anyhow::Result<Wan> {
     let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
     let addr = listener.local_addr()?;
     let inner = Arc::new(Inner {
-        target,
+        target: OnceLock::new(),
         one_way,
         cut: AtomicBool::new(false),
         accepted: AtomicU64::new(0),
@@ -57,6 +57,11 @@
         self.addr
     }
 
+    /// Sets where the relay leads, once; until then it takes connections and closes them.
+    pub fn lead_to(&self, target: net::SocketAddr) {
+        let _ = self.inner.target.set(target);
+    }
+
     /// Makes the open connections silent for good, while new ones work.
     pub fn silence(&self) {
         let accepted = self.inner.accepted.load(Ordering::SeqCst);
@@ -107,7 +112,10 @@
         tokio::time::sleep(time::Duration::from_secs(10)).await;
         return;
     }
-    let Ok(far) = TcpStream::connect(inner.target).await else {
+    let Some(target) = inner.target.get() else {
+        return;
+    };
+    let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
     let _ = near.set_nodelay(true);
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -144,6 +144,7 @@
         small_load: 0.1,
         policy: owner::Policy::default(),
         aged_keys: true,
+        faults: Vec::new(),
         progress: false,
     };
     let report = demo::run(cfg).await.expect("the parts get ready");
