--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -47,8 +47,10 @@
     deployment.workers = AGENTS;
     deployment.slots_per_worker = SLOTS;
     let addrs = parts.entries.iter().map(|node| node.entry.http_addr());
+    let entries = caller::Addrs::default();
+    entries.set(addrs.map(|addr| addr.to_string()).collect());
     let target = caller::Target {
-        entries: addrs.map(|addr| addr.to_string()).collect(),
+        entries,
         one_way: time::Duration::ZERO,
         slots: deployment.slots(),
         truth: None,
@@ -60,13 +62,14 @@
         dominant_load: 0.3,
         small_load: 0.2,
         policy: owner::Policy::default(),
+        faults: Vec::new(),
         aged_keys,
         progress: false,
     };
     let before = gauge::processor();
     let (_, writes_before) = parts.platform.operations();
     let begun = time::Instant::now();
-    demo::offer(&work, target).await;
+    demo::load(&work, target).await;
     let seconds = begun.elapsed().as_secs_f64();
     let sum = |kind| -> f64 {
         let entries = parts.entries.iter().map(|node| node.messages.get(kind));
