Promise heavy customers less where small ones scatter, more where they don't

Cause: with a fixed 30% of the target as headroom the dominant customer was refused at a total load of 1, although its work could have been done in time. What can go wrong is that the small ones exceed their rate while its jobs wait, and that is little where they ask for little.

Change: a heavy customer's share is worked out after one standard deviation of the small ones' work over the window, from their rate and the mean slot time of a job; the headroom grows to 40% of the target.

--- a/src/decide/backlog.rs
+++ b/src/decide/backlog.rs
@@ -8,7 +8,7 @@
 
 /// Share of its target within which a job has to be thought to end. What is left of the target
 /// bears the error of the forecast; `docs/design/overload.md` has the figures.
-pub const HEADROOM: f64 = 0.3;
+pub const HEADROOM: f64 = 0.4;
 
 /// Waiting work of one customer.
 #[derive(Clone, Debug, Default)]
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -26,6 +26,9 @@
 /// so for a while.
 const BURST: f64 = 1.15;
 
+/// Weight of a job in the mean slot time of a job.
+const JOB_GAIN: f64 = 0.01;
+
 /// Rates below this share of a slot are forgotten.
 const NEGLIGIBLE: f64 = 1e-4;
 
@@ -35,6 +38,8 @@
     opened: time::Instant,
     refreshed: time::Instant,
     customers: HashMap<id::Customer, Offered>,
+    /// Mean slot time of a job, in seconds.
+    job: f64,
     light: usize,
     light_rate: f64,
 }
@@ -63,6 +68,7 @@
             opened: now,
             refreshed: now,
             customers: HashMap::new(),
+            job: 0.0,
             light: 0,
             light_rate: 0.0,
         }
@@ -80,6 +86,7 @@
             });
         offered.fade(now);
         offered.work += seconds;
+        self.job += JOB_GAIN * (seconds - self.job);
     }
 
     /// Tells whether a customer goes before the heavy ones; true for one never seen.
@@ -128,7 +135,7 @@
         let light = light_ones(&rates, capacity);
         self.light = light;
         self.light_rate = rates[..light].iter().map(|(_, rate)| rate).sum();
-        let mut left = (capacity - self.light_rate).max(1.0);
+        let mut left = (capacity - self.light_rate - self.scatter()).max(1.0);
         let mut changed = Vec::new();
         for (i, (customer, rate)) in rates.iter().enumerate() {
             let sharers = (rates.len() - i) as f64;
@@ -144,6 +151,12 @@
         changed
     }
 
+    /// By how much the light customers may exceed their rate for as long as a job waits: the
+    /// standard deviation of jobs that arrive at random.
+    fn scatter(&self) -> f64 {
+        (self.light_rate * self.job / WINDOW.as_secs_f64()).sqrt()
+    }
+
     /// Slots that each customer asks for, without those that ask for next to nothing.
     fn rates(&mut self, now: time::Instant) -> Vec<(id::Customer, f64)> {
         let window = WINDOW.as_secs_f64();
