--- a/tests/config_force.rs
+++ b/tests/config_force.rs
@@ -264,6 +264,25 @@
     });
 }
 
+/// An accepted change is in force nowhere.
+/// The entry that took it died between the table's answer and its first word to the others. The
+/// owner finds the change at its next look, and its messages send the others to read.
+#[test]
+fn change_that_nobody_tells_of_is_found() {
+    support::block_on(async {
+        let memory = Memory::open();
+        path::configure(&memory);
+        let owner = open("entry-0", memory.platform()).await;
+        support::until("an owner", || owner.owns_any()).await;
+        let second = open("entry-1", memory.platform()).await;
+        support::until("the second is ready", || second.is_ready()).await;
+        let dead = config::open(memory.platform().table);
+        assert_eq!(dead.change(1, path::document(700)).await, Ok(2));
+        until_version(&owner, 2).await;
+        until_version(&second, 2).await;
+    });
+}
+
 /// The owner is cut off from the table and a change comes in at another entry.
 #[test]
 fn owner_that_cant_read_the_table_gets_the_document_from_a_peer() {
