--- a/tests/decide_overload.rs
+++ b/tests/decide_overload.rs
@@ -41,7 +41,7 @@
 #[test]
 fn absurd_declarations_refuse_nobody_else() {
     let mut fake = fake::open(2);
-    fake.submit("village", fake::tasks(16, 200, 200));
+    fake.submit("village", fake::tasks(20, 200, 200));
     fake.submit("town", fake::tasks(290, 100, 600_000));
     let job = fake.submit("village", fake::tasks(4, 200, 200));
     assert!(fake.refusal(job).is_none(), "{:?}", fake.refusal(job));
@@ -115,3 +115,19 @@
     let honest = [Code::RetriesSpent, Code::Expired, Code::WorkerBusy];
     assert!(honest.contains(&refusal.code), "{refusal:?}");
 }
+
+/// The only customer there is sends long tasks to a system that stands half idle. Its own work
+/// alone made it look like a flood, and it was refused while there was a free slot for every task.
+#[test]
+fn job_that_finds_its_slots_free_is_never_refused() {
+    let mut fake = fake::open(1);
+    let long = fake::TARGET.as_millis() as u64 * 3 / 4;
+    let first = fake.submit("harbour", fake::tasks(4, long, long));
+    fake.pass(Duration::from_millis(200));
+    let second = fake.submit("harbour", fake::tasks(4, long, long));
+    fake.pass(fake::TARGET);
+    for job in [first, second] {
+        assert!(fake.refusal(job).is_none(), "{:?}", fake.refusal(job));
+        assert!(fake.is_complete(job));
+    }
+}
