--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -5,3 +5,4 @@
 pub mod membership;
 pub mod ownership;
 pub mod roll;
+pub mod standing;
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -13,16 +13,13 @@
 
 use crate::backoff;
 use crate::controller::roll;
+use crate::controller::standing::{State, Suspicion};
 use crate::decide::head;
 use crate::decide::spread;
 use crate::id;
 use crate::wire::platform::{self, Commit, Condition, Revision, Transaction, Write};
 use crate::wire::rows;
 
-/// Age of the last proof of ownership after which an owner beats. It is a little longer than
-/// claims are gathered for, whose writes are proofs and beats as well.
-pub const BEAT: time::Duration = time::Duration::from_millis(1_100);
-
 /// Beats that have to fail to come before a cell is taken from an owner that is only silent.
 pub const SILENCE: time::Duration = time::Duration::from_secs(3);
 
@@ -44,15 +41,6 @@
     pub addr: CompactString,
 }
 
-/// What is suspected of an owner.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Suspicion {
-    /// It refuses connections: its process is gone.
-    Refusing,
-    /// Nothing is heard of it.
-    Silent,
-}
-
 /// What the loop reports.
 pub struct Events {
     /// The cell is owned by this entry, under this epoch and revision of the cell's row.
@@ -79,20 +67,6 @@
     wake: Notify,
 }
 
-#[derive(Clone, Debug, Default)]
-struct State {
-    owned: Option<(id::Epoch, Revision)>,
-    beats: u64,
-    /// When the last operation began that proved the ownership.
-    proved: Option<time::Instant>,
-    /// What is suspected of the owner of which epoch.
-    suspicion: Option<(id::Epoch, Suspicion)>,
-    beat_seen: Option<(Revision, time::Instant)>,
-    resigned: bool,
-    /// Since when the cell has been seen without an owner.
-    vacant: Option<time::Instant>,
-}
-
 /// When cells last came to this entry.
 #[derive(Debug, Default)]
 struct Moves {
@@ -475,24 +449,6 @@
     }
 }
 
-impl State {
-    /// Time until a beat is due, if the cell is owned.
-    fn beat_due_in(&self, now: time::Instant) -> Option<time::Duration> {
-        self.owned?;
-        let due = self.proved.map_or(now, |at| at + BEAT);
-        Some(due.saturating_duration_since(now))
-    }
-
-    fn begin_beat(&mut self, now: time::Instant) -> Option<(id::Epoch, Revision, u64)> {
-        if !self.beat_due_in(now)?.is_zero() {
-            return None;
-        }
-        let (epoch, revision) = self.owned?;
-        self.beats += 1;
-        Some((epoch, revision, self.beats))
-    }
-}
-
 /// Sums up rows by their revisions, in 53 bits, which JSON numbers of other languages hold.
 fn digest(rows: &[platform::Row]) -> head::Digest {
     let mut hasher = xxh3::Xxh3::new();
@@ -503,13 +459,6 @@
     hasher.digest() >> 11
 }
 
-impl State {
-    /// Tells whether the cell is to be looked at again soon.
-    fn is_pending(&self) -> bool {
-        self.suspicion.is_some() || self.vacant.is_some()
-    }
-}
-
 /// The owner of a cell, by the rows found.
 fn owner_of(found: &[platform::Row], cell: id::Cell) -> Option<rows::Owner> {
     let key = rows::cell(cell);
