--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -8,7 +8,7 @@
 use compact_str::CompactString;
 use tokio::sync::oneshot;
 
-use crate::controller::ownership::Suspicion;
+use crate::controller::standing::Suspicion;
 use crate::decide::delivery;
 use crate::entry::core::{Core, Place};
 use crate::entry::inward;
