Explore the protocol breadth first, and number the starts of a job

A model checker drives the shipped owner, inheritance and ledger over all orders of messages, takeovers, pauses and deaths within bounds.

Its first finding: the state space had no end. A task that an agent had withdrawn was sent to the same agent again, refused, queued and sent again, as fast as the link allowed, and the same with an agent that had not joined yet. Starts now carry a number, and a withdrawal covers the starts up to it, so that the agent takes a later one; an agent offers no slots before it has joined. Ruled out: keeping agents off a list per task, which starves a task that every agent has withdrawn.

Claims carry the time of acceptance in place of the time of their write, since a write that an outage delays made a claim look younger than its starts.

--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -90,7 +90,9 @@
 
     /// Admits the agent to its cell; see [`Ledger::join`].
     pub fn join(&self, epoch: id::Epoch) {
-        self.lock().ledger.join(epoch);
+        let mut inner = self.lock();
+        inner.ledger.join(epoch);
+        inner.tell(Notice::Heartbeat);
     }
 
     /// Takes the hello of an owner: raises the fence, reports, and speaks to this owner from now.
@@ -346,12 +348,13 @@
 
     fn accept(&mut self, now: time::Instant, epoch: id::Epoch, start: order::Start) {
         if self.draining || self.slots(now) == 0 {
-            if self.ledger.withdraw(now, &start.id) {
+            let mark = (epoch, start.attempt);
+            if self.ledger.withdraw(now, &start.id, mark) {
                 self.tell(Notice::Refused(start.id, code::Code::NotJoined));
             }
             return;
         }
-        match self.ledger.start(now, epoch, &start.id) {
+        match self.ledger.start(now, epoch, &start.id, start.attempt) {
             ledger::Verdict::Run => self.waiting.push_back(start),
             ledger::Verdict::Duplicate => {}
             ledger::Verdict::Refuse(code) => self.tell(Notice::Refused(start.id, code)),
@@ -366,7 +369,7 @@
         }
     }
 
-    fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[task::Id]) {
+    fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[order::Attempt]) {
         for (id, standing) in self.ledger.resolve(now, epoch, ids) {
             if let Some((outcome, ran_us)) = self.ledger.answer(&id) {
                 self.tell(Notice::Answer(notice::Answer {
@@ -382,6 +385,10 @@
 
     /// Slots of the backend server; none once it has left, silently or not.
     fn slots(&self, now: time::Instant) -> u32 {
+        // Before it has joined it may start nothing; to offer slots would only draw starts.
+        if !self.ledger.is_joined() {
+            return 0;
+        }
         match &self.backend {
             Some(backend) if backend.announcement.leaving => 0,
             Some(backend) if now.saturating_duration_since(backend.heard) > BACKEND_SILENCE => 0,
--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -37,7 +37,7 @@
 /// What the writer reports.
 pub struct Events {
     /// These claims are in the table, by an operation that began at the time given.
-    pub written: Box<dyn Fn(&[id::JobKey], time::Instant) + Send + Sync>,
+    pub written: Box<dyn Fn(&[action::Claim], time::Instant) + Send + Sync>,
     /// These claims, which starts wait for, can't be written now.
     pub refused: Box<dyn Fn(&[id::JobKey], code::Code) + Send + Sync>,
     /// The cell has another owner.
@@ -117,8 +117,7 @@
         let begun = time::Instant::now();
         match (scope.table.commit)(tx.clone()).await {
             Ok(Commit::Done(_)) => {
-                let keys: Vec<_> = group.drain(..).map(|claim| claim.key).collect();
-                (events.written)(&keys, begun);
+                (events.written)(&std::mem::take(group), begun);
                 return true;
             }
             Ok(Commit::Conflict(_)) => return false,
@@ -156,14 +155,7 @@
     old: &mut VecDeque<Written>,
     group: &[action::Claim],
 ) -> Transaction {
-    let at_ms = since_epoch().as_millis() as u64;
-    let claimed = |claim: &action::Claim| inherit::Claimed {
-        key: claim.key.clone(),
-        digest: claim.digest,
-        tasks: claim.tasks,
-        at_ms,
-    };
-    let claims: Vec<_> = group.iter().map(claimed).collect();
+    let claims: Vec<_> = group.iter().map(inherit::Claimed::of).collect();
     let mut writes = vec![Write {
         key: key.clone(),
         value: serde_json::to_string(&claims).ok(),
--- a/src/decide/action.rs
+++ b/src/decide/action.rs
@@ -31,4 +31,6 @@
     pub tasks: u32,
     /// True where nothing may start before the claim is in the table.
     pub ahead: bool,
+    /// When the submission was accepted, in milliseconds since the Unix epoch, by the owner's clock.
+    pub at_ms: u64,
 }
--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::action;
 use crate::decide::ledger;
 use crate::id;
 use crate::task;
@@ -31,10 +32,23 @@
     pub digest: u64,
     /// How many tasks it has.
     pub tasks: u32,
-    /// When it was made, in milliseconds since the Unix epoch, by the claimant's clock.
+    /// When the submission was accepted, in milliseconds since the Unix epoch, by the claimant's
+    /// clock; nothing of it started earlier.
     pub at_ms: u64,
 }
 
+impl Claimed {
+    /// The row's part that a claim becomes.
+    pub fn of(claim: &action::Claim) -> Claimed {
+        Claimed {
+            key: claim.key.clone(),
+            digest: claim.digest,
+            tasks: claim.tasks,
+            at_ms: claim.at_ms,
+        }
+    }
+}
+
 /// A life of an agent as the membership rows tell.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Life {
--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -63,6 +63,8 @@
     pub left: usize,
     /// Its claim.
     pub claim: Claim,
+    /// Starts that were sent in this epoch.
+    pub attempts: u32,
     /// Agents that were sent any of its tasks.
     pub agents: BTreeSet<id::AgentId>,
     /// How it ended, once it has.
@@ -84,6 +86,7 @@
             tasks: vec![Progress::Waiting; tasks],
             left: tasks,
             claim,
+            attempts: 0,
             agents: BTreeSet::new(),
             ending: None,
         }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::code;
+use crate::decide::order;
 use crate::id;
 use crate::task;
 
@@ -43,13 +44,17 @@
     Refuse(code::Code),
 }
 
+/// Orders the starts of one task: by epoch, then by attempt.
+pub type Mark = (id::Epoch, u32);
+
 /// One task's record.
 #[derive(Clone, Debug)]
 enum Record {
-    Started,
+    Started(Mark),
     Done(task::Outcome, u64),
     Gone,
-    Withdrawn,
+    /// No start up to this one will be run.
+    Withdrawn(Mark),
 }
 
 #[derive(Clone, Debug)]
@@ -111,8 +116,19 @@
         }
     }
 
+    /// Tells whether the agent has joined its cell.
+    pub fn is_joined(&self) -> bool {
+        self.joined
+    }
+
     /// Decides on a start, and records it where it is to run.
-    pub fn start(&mut self, now: time::Instant, epoch: id::Epoch, id: &task::Id) -> Verdict {
+    pub fn start(
+        &mut self,
+        now: time::Instant,
+        epoch: id::Epoch,
+        id: &task::Id,
+        attempt: u32,
+    ) -> Verdict {
         if !self.joined {
             return Verdict::Refuse(code::Code::NotJoined);
         }
@@ -123,31 +139,43 @@
         }
         let job = self.job(now, &id.job);
         match job.tasks.get(&id.index) {
-            Some(Record::Withdrawn) => Verdict::Refuse(code::Code::Burned),
-            Some(_) => Verdict::Duplicate,
-            None if job.closed => Verdict::Refuse(code::Code::Burned),
-            None => {
-                job.tasks.insert(id.index, Record::Started);
+            // The owner was told that starts up to this one won't run, and may have sent the task
+            // elsewhere since.
+            Some(Record::Withdrawn(mark)) if (epoch, attempt) <= *mark => {
+                Verdict::Refuse(code::Code::Burned)
+            }
+            Some(Record::Withdrawn(_)) | None if job.closed => {
+                Verdict::Refuse(code::Code::CancelledBefore)
+            }
+            Some(Record::Withdrawn(_)) | None => {
+                let record = Record::Started((epoch, attempt));
+                job.tasks.insert(id.index, record);
                 Verdict::Run
             }
+            Some(_) => Verdict::Duplicate,
         }
     }
 
-    /// Refuses a task for good, unless it was started. Tells whether it was refused.
-    pub fn withdraw(&mut self, now: time::Instant, id: &task::Id) -> bool {
-        let record = self
-            .job(now, &id.job)
-            .tasks
-            .entry(id.index)
-            .or_insert(Record::Withdrawn);
-        matches!(record, Record::Withdrawn)
+    /// Refuses a task's starts up to this one, unless it was started. Tells whether it refused.
+    pub fn withdraw(&mut self, now: time::Instant, id: &task::Id, mark: Mark) -> bool {
+        let tasks = &mut self.job(now, &id.job).tasks;
+        let record = tasks.entry(id.index).or_insert(Record::Withdrawn(mark));
+        match record {
+            Record::Withdrawn(newest) => {
+                *newest = mark.max(*newest);
+                true
+            }
+            Record::Started(_) | Record::Done(..) | Record::Gone => false,
+        }
     }
 
     /// Takes back a start that turned out not to have run, so that it may run elsewhere.
     pub fn unstart(&mut self, now: time::Instant, id: &task::Id) {
-        self.job(now, &id.job)
-            .tasks
-            .insert(id.index, Record::Withdrawn);
+        let tasks = &mut self.job(now, &id.job).tasks;
+        if let Some(Record::Started(mark)) = tasks.get(&id.index) {
+            let mark = *mark;
+            tasks.insert(id.index, Record::Withdrawn(mark));
+        }
     }
 
     /// Keeps the outcome of a task until its job is acknowledged, within the bound.
@@ -178,15 +206,15 @@
         &mut self,
         now: time::Instant,
         epoch: id::Epoch,
-        ids: &[task::Id],
+        asked: &[order::Attempt],
     ) -> Vec<(task::Id, Standing)> {
         if epoch < self.epoch || !self.joined {
             return Vec::new();
         }
-        let mut standings = Vec::with_capacity(ids.len());
-        for id in ids {
-            let job = self.job(now, &id.job);
-            let record = job.tasks.entry(id.index).or_insert(Record::Withdrawn);
+        let mut standings = Vec::with_capacity(asked.len());
+        for order::Attempt { id, attempt } in asked {
+            self.withdraw(now, id, (epoch, *attempt));
+            let record = &self.job(now, &id.job).tasks[&id.index];
             standings.push((id.clone(), record.standing()));
         }
         standings
@@ -214,7 +242,7 @@
         record.closed = true;
         let mut running = Vec::new();
         for (index, task) in &record.tasks {
-            if matches!(task, Record::Started) {
+            if matches!(task, Record::Started(_)) {
                 running.push(task::Id {
                     job: job.clone(),
                     index: *index,
@@ -260,7 +288,7 @@
     pub fn sweep(&mut self, now: time::Instant) {
         let mut freed = 0;
         self.jobs.retain(|_, job| {
-            let running = job.tasks.values().any(|t| matches!(t, Record::Started));
+            let running = job.tasks.values().any(|t| matches!(t, Record::Started(_)));
             let keep = running || now.saturating_duration_since(job.touched) < RETENTION;
             if !keep {
                 freed += job.tasks.values().map(Record::size).sum::<usize>();
@@ -316,10 +344,10 @@
 impl Record {
     fn standing(&self) -> Standing {
         match self {
-            Record::Started => Standing::Started,
+            Record::Started(_) => Standing::Started,
             Record::Done(..) => Standing::Done,
             Record::Gone => Standing::Gone,
-            Record::Withdrawn => Standing::Withdrawn,
+            Record::Withdrawn(_) => Standing::Withdrawn,
         }
     }
 
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -18,18 +18,32 @@
     /// A job's answers have reached their caller and need not be kept.
     Acknowledge(id::JobKey),
     /// Tell how these tasks stand; what was never seen is refused for good.
-    Resolve(Vec<task::Id>),
+    Resolve(Vec<Attempt>),
     /// Starts may come ahead of their claims until the next epoch.
     Direct,
     /// Nothing else was said for a while.
     Heartbeat,
 }
 
+/// A task, and how often any task of its job was handed out by the owner so far.
+///
+/// The number tells a start that is still on its way from one that was sent after the agent had
+/// refused the task, so that the same agent may take it after all.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Attempt {
+    /// The task.
+    pub id: task::Id,
+    /// Counts the starts of the job's tasks in this epoch.
+    pub attempt: u32,
+}
+
 /// The start of one task.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Start {
     /// The task.
     pub id: task::Id,
+    /// Counts the starts of the job's tasks in this epoch.
+    pub attempt: u32,
     /// Its customer.
     pub customer: id::Customer,
     /// Milliseconds until its answer is worthless.
--- a/src/decide/owner/admission.rs
+++ b/src/decide/owner/admission.rs
@@ -40,6 +40,7 @@
             digest: submission.digest,
             tasks: submission.job.tasks.len() as u32,
             ahead,
+            at_ms: self.wall(now).as_millis() as u64,
         }));
         self.deadlines
             .insert((job.deadline, submission.key.clone()));
--- a/src/decide/owner/agents.rs
+++ b/src/decide/owner/agents.rs
@@ -130,7 +130,11 @@
         if tasks.is_empty() {
             return;
         }
-        let ids = tasks.iter().cloned().collect();
+        let attempt = |id: &task::Id| order::Attempt {
+            id: id.clone(),
+            attempt: self.jobs.get(&id.job).map_or(0, |job| job.attempts),
+        };
+        let ids = tasks.iter().map(attempt).collect();
         self.actions
             .push(Action::Order(id.clone(), order::Order::Resolve(ids)));
     }
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -51,10 +51,12 @@
 }
 
 /// The owner of one cell in one epoch.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Owner {
     epoch: id::Epoch,
     policy: Policy,
+    /// When the owner was opened, by both clocks.
+    opened: (time::Instant, time::Duration),
     inheritance: inherit::Inheritance,
     ready: bool,
     parked: Vec<(Arc<submission::Submission>, action::Waiter)>,
@@ -83,6 +85,7 @@
         Owner {
             epoch,
             policy,
+            opened: (now, wall),
             inheritance: inherit::Inheritance::open(now, wall),
             ready: false,
             parked: Vec::new(),
@@ -100,6 +103,13 @@
         }
     }
 
+    /// The wall clock at `at`, reckoned from the owner's opening so that a step of the clock, or a
+    /// pause that the monotonic clock doesn't count, never makes it later than it is.
+    fn wall(&self, at: time::Instant) -> time::Duration {
+        let (opened, wall) = self.opened;
+        wall + at.saturating_duration_since(opened)
+    }
+
     /// The epoch.
     pub fn epoch(&self) -> id::Epoch {
         self.epoch
@@ -211,11 +221,15 @@
     }
 
     /// Notes that claims are in the table; tasks that waited for them may start.
-    pub fn claimed(&mut self, now: time::Instant, keys: &[id::JobKey]) {
-        for key in keys {
+    pub fn claimed(&mut self, now: time::Instant, claims: &[action::Claim]) {
+        for action::Claim { key, digest, .. } in claims {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
+            // A claim of an earlier body under the key, which was refused meanwhile, claims nothing.
+            if job.submission.digest != *digest {
+                continue;
+            }
             let awaited = job.claim == job::Claim::Awaited;
             job.claim = job::Claim::Written;
             if awaited && job.ending.is_none() {
--- a/src/decide/owner/resume.rs
+++ b/src/decide/owner/resume.rs
@@ -30,7 +30,7 @@
         let mut job = job::Job::open(submission.clone(), now + target, job::Claim::Written);
         job.waiters.push(waiter);
         let key = submission.key.clone();
-        let mut asked: HashMap<id::AgentId, Vec<task::Id>> = HashMap::new();
+        let mut asked: HashMap<id::AgentId, Vec<order::Attempt>> = HashMap::new();
         let mut gone = false;
         for (index, (agent, standing)) in &tasks {
             let Some(progress) = job.tasks.get_mut(*index as usize) else {
@@ -49,7 +49,8 @@
                 .entry(agent.clone())
                 .or_default()
                 .insert(id.clone());
-            asked.entry(agent.clone()).or_default().push(id);
+            let attempt = order::Attempt { id, attempt: 0 };
+            asked.entry(agent.clone()).or_default().push(attempt);
         }
         let missing = tasks.len() < job.tasks.len();
         self.deadlines.insert((job.deadline, key.clone()));
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -80,10 +80,12 @@
             estimate: waiting.estimate,
         };
         job.agents.insert(agent.clone());
+        job.attempts += 1;
         let customer = job.submission.job.customer.clone();
         let left = job.deadline.saturating_duration_since(now);
         let start = order::Start {
             id: id.clone(),
+            attempt: job.attempts,
             customer: customer.clone(),
             deadline_ms: left.as_millis().max(1) as u64,
             needs: waiting.needs,
@@ -144,6 +146,15 @@
         if code == code::Code::StaleEpoch {
             return;
         }
+        if code == code::Code::CancelledBefore {
+            // The job was withdrawn under an owner before; starting it elsewhere would undo that.
+            if let Some(index) = self.give_back(now, agent, id, None) {
+                let job = self.jobs.get_mut(&id.job);
+                job.expect("a task that was given back has a job").tasks[index] = Progress::Dropped;
+                self.fail(now, &id.job, code::Code::Cancelled);
+            }
+            return;
+        }
         self.requeue(now, agent, id);
     }
 
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -155,13 +155,13 @@
 fn claim_events(cell: &Weak<Cell>) -> claims::Events {
     let (written, refused, deposed) = (cell.clone(), cell.clone(), cell.clone());
     claims::Events {
-        written: Box::new(move |keys, begun| {
+        written: Box::new(move |claims, begun| {
             let Some(cell) = written.upgrade() else {
                 return;
             };
             cell.with(|owner, now| {
                 owner.table_seen(begun);
-                owner.claimed(now, keys);
+                owner.claimed(now, claims);
             });
         }),
         refused: Box::new(move |keys, code| {
--- /dev/null
+++ b/tests/model/main.rs
@@ -0,0 +1,158 @@
+//! Explores the shipped claim, fence, takeover and join code breadth first, over all orders of
+//! what can happen within stated bounds (`docs/design/claims.md` has the specification).
+
+mod moves;
+mod print;
+mod world;
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use lovagemill::decide::ledger;
+use pathfinding::directed::bfs;
+
+use world::{Agent, Bounds, Joining, Mutation, Node, Row, Table, Truth, Used, World};
+
+/// The world before anything happened: both agents have joined, nobody owns the cell.
+fn start(bounds: Bounds) -> Node {
+    let agent = || {
+        let mut ledger = ledger::Ledger::default();
+        ledger.join(0);
+        Agent {
+            ledger: print::Part::open(ledger),
+            life: 1,
+            joining: Joining::Joined,
+            owner: None,
+            greeted: 0,
+            running: BTreeSet::new(),
+        }
+    };
+    let row = || Row {
+        life: 1,
+        lost: Vec::new(),
+    };
+    let table = Table {
+        rows: [row(), row()],
+        ..Table::default()
+    };
+    Node::of(World {
+        bounds: Arc::new(bounds),
+        used: Used::default(),
+        clock: 0,
+        table,
+        entries: Default::default(),
+        agents: [agent(), agent()],
+        wire: BTreeSet::new(),
+        truth: Truth::default(),
+        step: String::new(),
+    })
+}
+
+/// Looks for the shortest story that breaks a promise.
+fn search(bounds: Bounds) -> Option<String> {
+    let begun = std::time::Instant::now();
+    let states = Cell::new(0_u64);
+    let most = bounds.states;
+    let successors = |node: &Node| {
+        states.set(states.get() + 1);
+        if states.get() > most {
+            return Vec::new();
+        }
+        moves::all(node)
+    };
+    let begin = lead_in(start(bounds));
+    let found = bfs::bfs(&begin, successors, |node| node.world.truth.wrong.is_some());
+    println!("{} states in {:.1?}", states.get(), begun.elapsed());
+    found.map(|path| story(&path))
+}
+
+/// The first owner takes the cell and meets both agents, before the search branches out.
+fn lead_in(start: Node) -> Node {
+    let first = [
+        "entry 1 takes the cell",
+        "entry 1 reads the members",
+        "arrives: Hello",
+        "arrives: Hello",
+        "arrives: Up",
+        "arrives: Up",
+    ];
+    let mut node = start;
+    for step in first {
+        let next = moves::all(&node);
+        let found = next.into_iter().find(|n| n.world.step.starts_with(step));
+        node = found.unwrap_or_else(|| panic!("\"{step}\" can't be done"));
+    }
+    node
+}
+
+fn story(path: &[Node]) -> String {
+    let mut story = String::new();
+    for (number, node) in path.iter().enumerate().skip(1) {
+        story += &format!("{number:3}. {}\n", node.world.step);
+    }
+    let last = path.last().expect("a path has an end");
+    let wrong = last.world.truth.wrong.as_deref();
+    story + &format!("     => {}\n", wrong.unwrap_or("nothing is wrong"))
+}
+
+fn holds(bounds: Bounds) {
+    if let Some(story) = search(bounds) {
+        panic!("a promise is broken:\n{story}");
+    }
+}
+
+fn breaks(mutation: Mutation, bounds: Bounds) {
+    let story = search(Bounds { mutation, ..bounds });
+    println!("{}", story.expect("the mutation must be found"));
+}
+
+/// One task, one takeover from a living owner, one agent that loses its memory.
+fn small() -> Bounds {
+    Bounds {
+        tasks: 1,
+        submissions: 2,
+        takeovers: 2,
+        agent_deaths: 1,
+        idempotent: true,
+        minted: Some(0),
+        states: 200_000,
+        ..Bounds::default()
+    }
+}
+
+#[test]
+fn aged_key_crash() {
+    holds(Bounds {
+        kill: true,
+        ..small()
+    });
+}
+
+#[test]
+fn plain_key_crash() {
+    holds(Bounds {
+        minted: None,
+        kill: true,
+        ..small()
+    });
+}
+
+#[test]
+fn aged_key_pause() {
+    holds(Bounds {
+        agent_deaths: 0,
+        duplicates: 1,
+        ..small()
+    });
+}
+
+#[test]
+fn plain_key_pause() {
+    holds(Bounds {
+        agent_deaths: 0,
+        duplicates: 1,
+        minted: None,
+        ..small()
+    });
+}
