Don't ask a restarted agent about what its life before reported

After a takeover an agent reports a running task, dies and starts again. The new owner asked the new life about the task, was told that it had never seen it, and started the task a second time. The report now names the life, and a job whose life has ended is answered as unknown.

--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -67,6 +67,9 @@
     pub at_ms: u64,
 }
 
+/// Tasks of one job, with the life that remembers each and how it stands there.
+pub type Remembered = BTreeMap<id::TaskIndex, (Life, ledger::Standing)>;
+
 /// What was found out about a submission's key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Found {
@@ -75,7 +78,7 @@
     /// An earlier owner accepted it: where its tasks are, and whether the others may be started.
     Known {
         /// Tasks that some agent remembers.
-        tasks: BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>,
+        tasks: Remembered,
         /// True where tasks that no agent remembers provably never started.
         rest_startable: bool,
     },
@@ -93,7 +96,7 @@
     awaited: Option<BTreeSet<Life>>,
     lost: Vec<time::Duration>,
     claims: Option<HashMap<id::JobKey, Claimed>>,
-    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>>,
+    seen: HashMap<id::JobKey, Remembered>,
 }
 
 impl Inheritance {
@@ -138,7 +141,7 @@
                 continue;
             }
             let job = self.seen.entry(id.job.clone()).or_default();
-            job.insert(id.index, (life.agent.clone(), *standing));
+            job.insert(id.index, (life.clone(), *standing));
         }
         if let Some(awaited) = &mut self.awaited {
             awaited.remove(life);
--- a/src/decide/owner/resume.rs
+++ b/src/decide/owner/resume.rs
@@ -1,12 +1,13 @@
 //! Taking up a job that an earlier owner accepted.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time;
 
 use crate::class;
 use crate::code;
 use crate::decide::action::{self, Action};
+use crate::decide::inherit;
 use crate::decide::job::{self, Progress};
 use crate::decide::ledger;
 use crate::decide::order;
@@ -22,7 +23,7 @@
         now: time::Instant,
         submission: Arc<submission::Submission>,
         waiter: action::Waiter,
-        tasks: BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>,
+        tasks: inherit::Remembered,
         rest_startable: bool,
     ) {
         let class = self.config.document.class(&submission.job.class);
@@ -32,11 +33,17 @@
         let key = submission.key.clone();
         let mut asked: HashMap<id::AgentId, Vec<order::Attempt>> = HashMap::new();
         let mut gone = false;
-        for (index, (agent, standing)) in &tasks {
+        let mut lost = false;
+        for (index, (life, standing)) in &tasks {
+            let agent = &life.agent;
             let Some(progress) = job.tasks.get_mut(*index as usize) else {
                 continue;
             };
             gone |= *standing == ledger::Standing::Gone;
+            // The life that reported the task may have ended since. Its successor would say that
+            // it never saw the task, which proves nothing, so it isn't asked.
+            let current = self.fleet.get(agent).map(|agent| agent.incarnation);
+            lost |= current != Some(life.incarnation);
             *progress = Progress::Inherited {
                 agent: agent.clone(),
             };
@@ -45,10 +52,6 @@
                 job: key.clone(),
                 index: *index,
             };
-            self.outstanding
-                .entry(agent.clone())
-                .or_default()
-                .insert(id.clone());
             let attempt = order::Attempt { id, attempt: 0 };
             asked.entry(agent.clone()).or_default().push(attempt);
         }
@@ -59,12 +62,19 @@
             self.fail(now, &key, code::Code::AnswerGone);
             return;
         }
+        if lost {
+            self.drop_waiting_as_unknown(&key);
+            self.fail(now, &key, code::Code::WorkerLost);
+            return;
+        }
         if missing && !rest_startable {
             self.drop_waiting_as_unknown(&key);
             self.fail(now, &key, code::Code::MayHaveRun);
             return;
         }
         for (agent, ids) in asked {
+            let outstanding = self.outstanding.entry(agent.clone()).or_default();
+            outstanding.extend(ids.iter().map(|asked| asked.id.clone()));
             self.actions
                 .push(Action::Order(agent, order::Order::Resolve(ids)));
         }
--- a/tests/model/main.rs
+++ b/tests/model/main.rs
@@ -156,3 +156,84 @@
         ..small()
     });
 }
+
+/// Two tasks, so that one may run where the other doesn't.
+#[test]
+fn two_tasks_crash() {
+    holds(Bounds {
+        tasks: 2,
+        kill: true,
+        ..small()
+    });
+}
+
+/// The owner writes its claim but never hears of it, or gives up waiting for it.
+#[test]
+fn claim_answers_lost() {
+    holds(Bounds {
+        minted: None,
+        agent_deaths: 0,
+        lost_answers: 1,
+        refusals: 1,
+        submissions: 3,
+        ..small()
+    });
+}
+
+/// Links break while both ends live, and what was sent on them arrives late.
+#[test]
+fn links_lost() {
+    holds(Bounds {
+        takeovers: 1,
+        agent_deaths: 0,
+        link_losses: 2,
+        tasks: 2,
+        submissions: 1,
+        duplicates: 1,
+        ..small()
+    });
+}
+
+/// The caller cancels, here or there.
+#[test]
+fn cancelled() {
+    holds(Bounds {
+        agent_deaths: 0,
+        cancels: 1,
+        ..small()
+    });
+}
+
+/// The caller's clock is far ahead, so that its key claims to be younger than the takeover.
+#[test]
+fn caller_clock_ahead() {
+    holds(Bounds {
+        minted: Some(1_000),
+        kill: true,
+        ..small()
+    });
+}
+
+/// An agent restarts long before the takeover, while the owner can't write its claims.
+#[test]
+fn agent_lost_long_before_takeover() {
+    holds(Bounds {
+        seconds: 10,
+        kill: true,
+        ..small()
+    });
+}
+
+/// The new owner can't reach an agent that the old one, whose clock stood still, still uses.
+#[test]
+fn frozen_owner_behind_a_partition() {
+    holds(Bounds {
+        agent_deaths: 0,
+        cut_off: Some((1, 0)),
+        seconds: 10,
+        frozen: 4,
+        minted: Some(8),
+        entry_skew: [2, 0],
+        ..small()
+    });
+}
