Number refusals like the starts that they refuse

A refusal that arrived twice requeued a task that had been sent to the same agent again in between, and ran there. Found by the model checker (links_lost).

--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -162,8 +162,8 @@
                 }));
             } else {
                 inner.waiting.retain(|start| start.id != id);
-                inner.ledger.unstart(now, &id);
-                inner.tell(Notice::Refused(id, code::Code::Burned));
+                let attempt = inner.ledger.unstart(now, &id);
+                inner.tell(Notice::Refused(attempt, code::Code::Burned));
             }
         }
         self.changed.notify_waiters();
@@ -222,8 +222,8 @@
             task::Outcome::Done(_) => false,
         };
         if let (true, task::Outcome::Failed(code)) = (not_run, &outcome) {
-            inner.ledger.unstart(now, id);
-            inner.tell(Notice::Refused(id.clone(), *code));
+            let attempt = inner.ledger.unstart(now, id);
+            inner.tell(Notice::Refused(attempt, *code));
         } else {
             let ran_us = ran.as_micros() as u64;
             inner.ledger.finish(now, id, outcome.clone(), ran_us);
@@ -350,35 +350,37 @@
         if self.draining || self.slots(now) == 0 {
             let mark = (epoch, start.attempt);
             if self.ledger.withdraw(now, &start.id, mark) {
-                self.tell(Notice::Refused(start.id, code::Code::NotJoined));
+                self.tell(Notice::Refused(start.attempt(), code::Code::NotJoined));
             }
             return;
         }
         match self.ledger.start(now, epoch, &start.id, start.attempt) {
             ledger::Verdict::Run => self.waiting.push_back(start),
             ledger::Verdict::Duplicate => {}
-            ledger::Verdict::Refuse(code) => self.tell(Notice::Refused(start.id, code)),
+            ledger::Verdict::Refuse(code) => {
+                self.tell(Notice::Refused(start.attempt(), code));
+            }
         }
     }
 
     /// Gives back what waits here and can't be run here any more.
     fn give_back(&mut self, now: time::Instant) {
         for start in std::mem::take(&mut self.waiting) {
-            self.ledger.unstart(now, &start.id);
-            self.tell(Notice::Refused(start.id, code::Code::NotJoined));
+            let attempt = self.ledger.unstart(now, &start.id);
+            self.tell(Notice::Refused(attempt, code::Code::NotJoined));
         }
     }
 
     fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[order::Attempt]) {
-        for (id, standing) in self.ledger.resolve(now, epoch, ids) {
-            if let Some((outcome, ran_us)) = self.ledger.answer(&id) {
+        for (attempt, standing) in self.ledger.resolve(now, epoch, ids) {
+            if let Some((outcome, ran_us)) = self.ledger.answer(&attempt.id) {
                 self.tell(Notice::Answer(notice::Answer {
-                    id,
+                    id: attempt.id,
                     outcome,
                     ran_us,
                 }));
             } else {
-                self.tell(Notice::Standing(id, standing));
+                self.tell(Notice::Standing(attempt, standing));
             }
         }
     }
--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -21,6 +21,8 @@
     Sent {
         /// The agent.
         agent: id::AgentId,
+        /// The number of the start.
+        attempt: u32,
         /// When it was sent.
         at: time::Instant,
         /// Slot time that was booked for it.
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -169,13 +169,20 @@
         }
     }
 
-    /// Takes back a start that turned out not to have run, so that it may run elsewhere.
-    pub fn unstart(&mut self, now: time::Instant, id: &task::Id) {
+    /// Takes back a start that turned out not to have run, so that it may run elsewhere. Returns
+    /// which start it was.
+    pub fn unstart(&mut self, now: time::Instant, id: &task::Id) -> order::Attempt {
         let tasks = &mut self.job(now, &id.job).tasks;
+        let mut attempt = 0;
         if let Some(Record::Started(mark)) = tasks.get(&id.index) {
             let mark = *mark;
+            attempt = mark.1;
             tasks.insert(id.index, Record::Withdrawn(mark));
         }
+        order::Attempt {
+            id: id.clone(),
+            attempt,
+        }
     }
 
     /// Keeps the outcome of a task until its job is acknowledged, within the bound.
@@ -207,15 +214,16 @@
         now: time::Instant,
         epoch: id::Epoch,
         asked: &[order::Attempt],
-    ) -> Vec<(task::Id, Standing)> {
+    ) -> Vec<(order::Attempt, Standing)> {
         if epoch < self.epoch || !self.joined {
             return Vec::new();
         }
         let mut standings = Vec::with_capacity(asked.len());
-        for order::Attempt { id, attempt } in asked {
-            self.withdraw(now, id, (epoch, *attempt));
+        for attempt in asked {
+            let id = &attempt.id;
+            self.withdraw(now, id, (epoch, attempt.attempt));
             let record = &self.job(now, &id.job).tasks[&id.index];
-            standings.push((id.clone(), record.standing()));
+            standings.push((attempt.clone(), record.standing()));
         }
         standings
     }
--- a/src/decide/notice.rs
+++ b/src/decide/notice.rs
@@ -5,6 +5,7 @@
 
 use crate::code;
 use crate::decide::ledger;
+use crate::decide::order;
 use crate::id;
 use crate::task;
 
@@ -18,10 +19,10 @@
     Stale(id::Epoch),
     /// A task ended.
     Answer(Answer),
-    /// A start was refused; nothing ran.
-    Refused(task::Id, code::Code),
-    /// How a task stands that the owner asked for.
-    Standing(task::Id, ledger::Standing),
+    /// The starts of a task up to this one were refused; nothing ran.
+    Refused(order::Attempt, code::Code),
+    /// How a task stands that the owner asked for, and up to which start that holds.
+    Standing(order::Attempt, ledger::Standing),
     /// The state of the backend server changed, or nothing else was said for a while.
     Heartbeat,
 }
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -37,6 +37,16 @@
     pub attempt: u32,
 }
 
+impl Start {
+    /// Names the task and the start.
+    pub fn attempt(&self) -> Attempt {
+        Attempt {
+            id: self.id.clone(),
+            attempt: self.attempt,
+        }
+    }
+}
+
 /// The start of one task.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Start {
--- a/src/decide/owner/agents.rs
+++ b/src/decide/owner/agents.rs
@@ -97,11 +97,12 @@
         &mut self,
         now: time::Instant,
         agent: &id::AgentId,
-        id: &task::Id,
+        asked: &order::Attempt,
         standing: ledger::Standing,
     ) {
+        let id = &asked.id;
         match standing {
-            ledger::Standing::Withdrawn => self.requeue(now, agent, id),
+            ledger::Standing::Withdrawn => self.requeue(now, agent, asked),
             // The answer follows, or came already.
             ledger::Standing::Started | ledger::Standing::Done => {}
             ledger::Standing::Gone => {
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -76,6 +76,7 @@
         let declared = &job.submission.job.tasks[id.index as usize];
         job.tasks[id.index as usize] = Progress::Sent {
             agent: agent.clone(),
+            attempt: job.attempts + 1,
             at: now,
             estimate: waiting.estimate,
         };
@@ -140,14 +141,18 @@
         &mut self,
         now: time::Instant,
         agent: &id::AgentId,
-        id: &task::Id,
+        refused: &order::Attempt,
         code: code::Code,
     ) {
+        let id = &refused.id;
         if code == code::Code::StaleEpoch {
             return;
         }
         if code == code::Code::CancelledBefore {
             // The job was withdrawn under an owner before; starting it elsewhere would undo that.
+            if !self.is_current(refused) {
+                return;
+            }
             if let Some(index) = self.give_back(now, agent, id, None) {
                 let job = self.jobs.get_mut(&id.job);
                 job.expect("a task that was given back has a job").tasks[index] = Progress::Dropped;
@@ -155,10 +160,33 @@
             }
             return;
         }
-        self.requeue(now, agent, id);
+        self.requeue(now, agent, refused);
+    }
+
+    /// Tells whether a refusal covers the start that is under way, no earlier one.
+    ///
+    /// Guards against a refusal that arrives twice: after the first the task may have been sent to
+    /// the same agent again, and run there.
+    fn is_current(&self, refused: &order::Attempt) -> bool {
+        let job = self.jobs.get(&refused.id.job);
+        match job.and_then(|job| job.tasks.get(refused.id.index as usize)) {
+            Some(Progress::Sent { attempt, .. }) => *attempt <= refused.attempt,
+            // What was dropped is not started again.
+            Some(_) | None => true,
+        }
     }
 
-    pub(super) fn requeue(&mut self, now: time::Instant, agent: &id::AgentId, id: &task::Id) {
+    /// Queues a task again that an agent provably doesn't run.
+    pub(super) fn requeue(
+        &mut self,
+        now: time::Instant,
+        agent: &id::AgentId,
+        refused: &order::Attempt,
+    ) {
+        if !self.is_current(refused) {
+            return;
+        }
+        let id = &refused.id;
         let Some(index) = self.give_back(now, agent, id, None) else {
             return;
         };
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -39,9 +39,10 @@
     pub link_losses: u8,
     pub refusals: u8,
     pub cancels: u8,
-    /// Seconds that pass at most, two at a time.
+    /// Seconds that pass at most, and how many at a time.
     pub seconds: u64,
-    /// Times that an entry's clock may stand still while two seconds pass.
+    pub stride: u64,
+    /// Times that an entry's clock may stand still while others pass on.
     pub frozen: u8,
     /// Seconds by which the wall clocks of the entries and of the agents are ahead.
     pub entry_skew: [u64; ENTRIES],
