Tell from clocks of our own whether an unwritten start may have been lost

Three searches gave two starts of one task, all after the loss of an owner and an agent: a caller's clock that is ahead made its key look younger than the takeover; an agent lost more than 6 s before the takeover was left out although the owner had never written its claims; an owner whose clock stood still believed in a sight of the table long gone.

An owner now starts ahead of the claim only keys minted at most TABLE_SIGHT after its last sight of the table, by a clock reckoned from its opening, and a new owner holds every key for suspect that is not younger than an agent's lost life or an unreachable agent. The caller's clock no longer matters.

Five mutations (fence removed, join reversed, blind retry, unconditional claim, lost lives ignored) each give a counterexample.

--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -182,19 +182,21 @@
         }
     }
 
-    /// Tells whether a key without a claim may have been started by the owner before.
+    /// Tells whether a key without a claim may have been started by an owner before.
     ///
-    /// Only keys that tell their age are started ahead of their claims, and only by an owner that
-    /// saw itself in the table within [`TABLE_SIGHT`]. So a key that was minted long enough after
-    /// the takeover can't have been, and neither can one whose starts every agent would remember.
+    /// An owner starts ahead of the claim only keys that were minted at most [`TABLE_SIGHT`] after
+    /// its last sight of the table, which came before this takeover, and before the end of every
+    /// life that it used. So only a key that is not younger than a life which can't report may
+    /// have run on it. Nothing here depends on the caller's clock: the key is compared with the
+    /// clocks of entries and agents alone, on both sides.
     fn may_be_unwritten(&self, minted: Option<time::Duration>) -> bool {
         let Some(minted) = minted else {
             return false;
         };
-        let safe = self.taken_at + TABLE_SIGHT + 2 * CLOCK_SKEW;
-        let window = TABLE_SIGHT + 2 * CLOCK_SKEW;
-        let recently_lost = self.lost.iter().any(|at| *at + window > self.taken_at);
-        minted < safe && (self.unaccounted() > 0 || recently_lost)
+        let unreachable = (self.unaccounted() > 0).then_some(self.taken_at);
+        let ends = self.lost.iter().copied().chain(unreachable);
+        let slack = TABLE_SIGHT + 2 * CLOCK_SKEW;
+        ends.into_iter().any(|end| minted < end + slack)
     }
 
     /// Tells whether a task of a claim made at that time may have run on a life that is lost.
--- a/src/decide/owner/admission.rs
+++ b/src/decide/owner/admission.rs
@@ -104,16 +104,19 @@
 
     /// Tells whether a submission's claim must be in the table before anything of it starts.
     ///
-    /// Without a claim a start is safe only if a later owner can tell that the key is old, and
-    /// only while this owner surely is the owner: a key that tells its age, of idempotent work,
-    /// within sight of the table.
+    /// Without a claim a start is safe only if a later owner can tell that the key is old enough
+    /// to have been started: a key that tells its age, of idempotent work. A key that says it is
+    /// younger than this owner's last sight of the table would look fresh to the later owner,
+    /// whether the caller's clock is ahead or this process was paused without noticing.
     pub(super) fn must_claim_ahead(
         &self,
         now: time::Instant,
         submission: &submission::Submission,
     ) -> bool {
         let in_sight = now.saturating_duration_since(self.table_seen) < inherit::TABLE_SIGHT;
-        let tells_age = submission.minted_ms.is_some();
+        let latest = self.wall(self.table_seen) + inherit::TABLE_SIGHT;
+        let minted = submission.minted_ms.map(time::Duration::from_millis);
+        let tells_age = minted.is_some_and(|minted| minted <= latest);
         self.policy.claims_ahead || !submission.idempotent || !tells_age || !in_sight
     }
 }
--- a/tests/model/world.rs
+++ b/tests/model/world.rs
@@ -54,6 +54,10 @@
     pub cut_off: Option<(usize, usize)>,
     /// Whether the owner may lose the table for good, to enter direct mode.
     pub outage: bool,
+    /// Whether agents die only before time has passed.
+    pub lost_early: bool,
+    /// Whether the second agent is new: it has no row yet.
+    pub newcomer: bool,
     pub mutation: Mutation,
     /// Most states that are looked at.
     pub states: u64,
