--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,8 @@
 
 mod announce;
 mod join;
+mod large;
+mod spans;
 mod work;
 
 use std::net;
@@ -63,7 +65,12 @@
     platform: platform::Platform,
     messages: count::Messages,
 ) -> anyhow::Result<Agent> {
-    let work = Work::open(cfg.clone(), rand::random(), messages.clone());
+    let work = Work::open(
+        cfg.clone(),
+        rand::random(),
+        platform.objects.clone(),
+        messages.clone(),
+    );
     let links = link::bind(cfg.link_addr, service(&work, messages)).await?;
     let announcing = announce::bind(cfg.announce_addr, work.clone()).await?;
     let cell = key::cell(&cfg.id, cfg.cells);
@@ -130,19 +137,21 @@
     work: &Arc<Work>,
     messages: count::Messages,
 ) -> link::Service<agent::Hello, notice::Notice, agent::Down, agent::Up> {
-    let (greeting, taking, grouping) = (work.clone(), work.clone(), work.clone());
+    let (greeting, taking) = (work.clone(), work.clone());
     link::Service {
-        greet: Arc::new(move |hello, tx| greeting.greet(&hello, tx)),
-        take: Arc::new(move |down| taking.take(down)),
-        group: Arc::new(move |notices| {
-            messages.add(agent::kind_up(&notices), 1);
-            grouping.group(notices)
+        greet: Arc::new(move |hello: agent::Hello, tx| {
+            greeting.greet(&hello, tx);
+            let work = greeting.clone();
+            Arc::new(move |notices: Vec<notice::Notice>| work.group(hello.link, notices))
         }),
+        take: Arc::new(move |down| taking.take(down)),
+        sent: Arc::new(move |up, bytes| messages.sent(agent::kind_up(&up.notices), bytes)),
+        weigh: agent::weigh_notice,
     }
 }
 
 async fn tick(work: Arc<Work>) {
-    let mut interval = tokio::time::interval(agent::HEARTBEAT);
+    let mut interval = tokio::time::interval(agent::TICK);
     loop {
         interval.tick().await;
         work.tick();
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -1,7 +1,6 @@
 //! The work of an agent: what runs, what waits for a slot, and the answers' way up.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
@@ -9,6 +8,8 @@
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
+use crate::agent::large;
+use crate::agent::spans::Hops;
 use crate::agent::Config;
 use crate::code;
 use crate::count;
@@ -22,27 +23,36 @@
 use crate::wire::backend;
 use crate::wire::http;
 use crate::wire::link;
+use crate::wire::platform;
 
 /// Silence of a backend server after which nothing new is sent to it.
 const BACKEND_SILENCE: time::Duration = time::Duration::from_secs(2);
 
+/// Pause between looks for what need not be remembered any more.
+const SWEEP: time::Duration = time::Duration::from_secs(1);
+
 /// The shared state of an agent's parts.
 pub struct Work {
     cfg: Config,
     incarnation: id::Incarnation,
     http: http::Client,
+    large: large::Large,
     messages: count::Messages,
     inner: Mutex<Inner>,
     changed: Notify,
-    spoke: AtomicBool,
+    spoke: Mutex<time::Instant>,
 }
 
 struct Inner {
     ledger: Ledger,
     backend: Option<Backend>,
     running: HashMap<task::Id, Running>,
-    waiting: VecDeque<order::Start>,
+    waiting: VecDeque<Waiting>,
     owner: Option<link::Sender<Notice>>,
+    /// The owner's link, and how many of its messages have come.
+    link: id::Link,
+    received: u64,
+    swept: time::Instant,
     draining: bool,
 }
 
@@ -51,6 +61,12 @@
     heard: time::Instant,
 }
 
+/// A start that waits for a slot.
+struct Waiting {
+    start: order::Start,
+    since: time::Instant,
+}
+
 struct Running {
     abort: AbortHandle,
     since: time::Instant,
@@ -58,8 +74,14 @@
 
 impl Work {
     /// Opens an agent's work for one life.
-    pub fn open(cfg: Config, incarnation: id::Incarnation, messages: count::Messages) -> Arc<Work> {
+    pub fn open(
+        cfg: Config,
+        incarnation: id::Incarnation,
+        objects: platform::Objects,
+        messages: count::Messages,
+    ) -> Arc<Work> {
         Arc::new(Work {
+            large: large::Large::open(objects),
             cfg,
             // JSON numbers of other languages hold 53 bits.
             incarnation: incarnation >> 11,
@@ -71,10 +93,13 @@
                 running: HashMap::new(),
                 waiting: VecDeque::new(),
                 owner: None,
+                link: 0,
+                received: 0,
+                swept: time::Instant::now(),
                 draining: false,
             }),
             changed: Notify::new(),
-            spoke: AtomicBool::new(false),
+            spoke: Mutex::new(time::Instant::now()),
         })
     }
 
@@ -111,12 +136,17 @@
         };
         let _ = tx.send(Notice::Welcome(welcome));
         inner.owner = Some(tx);
+        inner.link = hello.link;
+        inner.received = 0;
     }
 
     /// Takes one message of an owner.
     pub fn take(self: &Arc<Self>, down: agent::Down) {
         let mut inner = self.lock();
         let now = time::Instant::now();
+        if down.link == inner.link {
+            inner.received += 1;
+        }
         // A restarted agent has a new life; orders to the old one mean nothing to it.
         if down.incarnation != self.incarnation {
             return;
@@ -161,7 +191,7 @@
                     ran_us,
                 }));
             } else {
-                inner.waiting.retain(|start| start.id != id);
+                inner.waiting.retain(|waiting| waiting.start.id != id);
                 let attempt = inner.ledger.unstart(now, &id);
                 inner.tell(Notice::Refused(attempt, code::Code::Burned));
             }
@@ -173,16 +203,16 @@
     fn fill(self: &Arc<Self>, inner: &mut Inner) {
         let now = time::Instant::now();
         while inner.running.len() < inner.slots(now) as usize {
-            let Some(start) = inner.waiting.pop_front() else {
+            let Some(waiting) = inner.waiting.pop_front() else {
                 return;
             };
             let Some(backend) = &inner.backend else {
                 return;
             };
             let addr = backend.announcement.addr.clone();
-            let id = start.id.clone();
+            let id = waiting.start.id.clone();
             let work = self.clone();
-            let handle = tokio::spawn(async move { work.run(addr, start).await });
+            let handle = tokio::spawn(async move { work.run(addr, waiting).await });
             let running = Running {
                 abort: handle.abort_handle(),
                 since: now,
@@ -191,8 +221,19 @@
         }
     }
 
-    async fn run(self: Arc<Self>, addr: CompactString, start: order::Start) {
+    async fn run(self: Arc<Self>, addr: CompactString, waiting: Waiting) {
+        let Waiting { start, since } = waiting;
         let id = start.id.clone();
+        let hops = Hops::begin(&start, since);
+        let traceparent = hops.map(|hops| hops.traceparent());
+        let input = match self.large.input(start.input).await {
+            Ok(input) => input,
+            Err(code) => {
+                let outcome = task::Outcome::Failed(code);
+                self.finish(&id, outcome, time::Duration::ZERO);
+                return;
+            }
+        };
         self.messages.add(count::Kind::Backend, 2);
         let begun = time::Instant::now();
         let outcome = backend::run(
@@ -202,12 +243,17 @@
                 id: start.id,
                 customer: start.customer,
                 deadline_ms: start.deadline_ms,
-                input: start.input,
-                traceparent: start.traceparent,
+                input,
+                traceparent: traceparent.or(start.traceparent),
             },
         )
         .await;
-        self.finish(&id, outcome, begun.elapsed());
+        if let Some(hops) = hops {
+            hops.record(&self.cfg.id, id.index, &outcome);
+        }
+        let ran = begun.elapsed();
+        let outcome = self.large.outcome(outcome).await;
+        self.finish(&id, outcome, ran);
     }
 
     fn finish(self: &Arc<Self>, id: &task::Id, outcome: task::Outcome, ran: time::Duration) {
@@ -252,24 +298,38 @@
         self.fill(&mut inner);
     }
 
-    /// Groups notices into one message, with the load of this moment.
-    pub fn group(&self, notices: Vec<Notice>) -> agent::Up {
-        self.spoke.store(true, Ordering::Relaxed);
-        let load = self.lock().load(time::Instant::now());
-        agent::Up { notices, load }
+    /// Groups notices of one link into one message, with the load of this moment.
+    pub fn group(&self, link: id::Link, notices: Vec<Notice>) -> agent::Up {
+        *self.spoke.lock().expect("the time is whole") = time::Instant::now();
+        let inner = self.lock();
+        let current = link == inner.link;
+        agent::Up {
+            notices,
+            load: inner.load(time::Instant::now()),
+            link,
+            received: if current { inner.received } else { 0 },
+        }
     }
 
     /// Does what is due: a heartbeat where nothing was said, and forgetting what is old.
     pub fn tick(&self) {
         let mut inner = self.lock();
         let now = time::Instant::now();
-        if !self.spoke.swap(false, Ordering::Relaxed) {
+        let mut spoke = self.spoke.lock().expect("the time is whole");
+        if now.saturating_duration_since(*spoke) >= agent::HEARTBEAT {
+            // The next one is due a whole pause later, also where the writer is not free yet.
+            *spoke = now;
             inner.tell(Notice::Heartbeat);
         }
+        drop(spoke);
         if inner.slots(now) == 0 {
             inner.give_back(now);
         }
-        inner.ledger.sweep(now);
+        if now.saturating_duration_since(inner.swept) >= SWEEP {
+            inner.swept = now;
+            inner.ledger.sweep(now);
+            self.large.sweep(now);
+        }
     }
 
     /// Starts nothing new from now on, and says so.
@@ -355,7 +415,7 @@
             return;
         }
         match self.ledger.start(now, epoch, &start.id, start.attempt) {
-            ledger::Verdict::Run => self.waiting.push_back(start),
+            ledger::Verdict::Run => self.waiting.push_back(Waiting { start, since: now }),
             ledger::Verdict::Duplicate => {}
             ledger::Verdict::Refuse(code) => {
                 self.tell(Notice::Refused(start.attempt(), code));
@@ -365,7 +425,7 @@
 
     /// Gives back what waits here and can't be run here any more.
     fn give_back(&mut self, now: time::Instant) {
-        for start in std::mem::take(&mut self.waiting) {
+        for Waiting { start, .. } in std::mem::take(&mut self.waiting) {
             let attempt = self.ledger.unstart(now, &start.id);
             self.tell(Notice::Refused(attempt, code::Code::NotJoined));
         }
--- a/src/code.rs
+++ b/src/code.rs
@@ -80,6 +80,8 @@
     AnswerTooLarge = 3003, 502, Failed, "a backend server's answer was over the limit; write large answers to the object store";
     AnswerTruncated = 3004, 502, Failed, "a backend server's answer broke off or wasn't JSON; see its own log";
     Cancelled = 3005, 409, Failed, "the job was cancelled after part of it ran";
+    RetriesSpent = 3006, 502, Failed, "part of the job may have run, and workers turned the rest away more often than the retry budget allows; see the status of the backend servers";
+    AnswerInStore = 3007, 503, Failed, "a large answer can't be put into the object store or fetched from it; submit again under the same key to ask once more";
     WorkerLost = 4001, 502, Unknown, "a worker was lost with a task on it; the task may have run, check before you submit under a new key";
     MayHaveRun = 4002, 502, Unknown, "an entry and a worker were lost together; the submission may have run, check before you submit under a new key";
     AnswerGone = 4003, 410, Unknown, "the submission ran but its answer is no longer kept; check before you submit under a new key";
@@ -88,7 +90,11 @@
     VersionConflict = 5002, 409, NotRun, "another change was accepted first; read the newest version and apply yours to it";
     ChangeUnknown = 5003, 504, Unknown, "the table's answer was lost; read the configuration to see whether the change took effect";
     SettingsInvalid = 6001, 400, NotRun, "the settings are refused; mend every flag or variable that is named";
-    Unreachable = 6002, 502, Unknown, "the address didn't answer; check it and the process behind it";
+    Unreachable = 6002, 502, Unknown, "the address gave no whole answer; check the process behind it, and submit again under the same key";
+    FileUnreadable = 6003, 400, NotRun, "the file can't be read; check its path and its permissions";
+    CannotListen = 6004, 500, NotRun, "an address can't be listened at; check that it is this machine's and free";
+    NotReached = 6005, 502, NotRun, "no connection could be made; check the address and the process behind it";
+    NotReady = 6006, 503, NotRun, "the demo's parts didn't get ready in time; try again on a machine that is less busy";
 }
 
 impl fmt::Display for Code {
--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -2,14 +2,17 @@
 //!
 //! A claim that a start waits for leaves at once, with all others that wait; one written behind
 //! its start may wait [`GATHER`] for company. Old claims are removed by the same transactions, so
-//! that forgetting costs no message.
+//! that forgetting costs no message. Each also changes the beat's row, so that an owner that
+//! writes claims needs no beats of its own.
 
 use std::collections::VecDeque;
+use std::future::Future;
 use std::sync::Arc;
 use std::time;
 
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::code;
 use crate::decide::action;
 use crate::decide::inherit;
@@ -18,8 +21,9 @@
 use crate::wire::platform::{self, Commit, Condition, Transaction, Write};
 use crate::wire::rows;
 
-/// How long claims written behind their starts are gathered.
-pub const GATHER: time::Duration = time::Duration::from_millis(400);
+/// How long claims written behind their starts are gathered. It stays well under
+/// [`inherit::TABLE_SIGHT`], since these writes are the owner's sight of the table.
+pub const GATHER: time::Duration = time::Duration::from_millis(900);
 
 /// Most claims in a group.
 const MAX_GROUP: usize = 1_000;
@@ -75,7 +79,7 @@
             (events.deposed)();
             return;
         }
-        old.push_back((key, since_epoch()));
+        old.push_back((key, clock::since_epoch()));
     }
 }
 
@@ -101,7 +105,9 @@
 /// Writes one group until it is in the table. Tells whether the cell is still owned.
 ///
 /// A write whose answer was lost is simply repeated: the row's key and value are the same and the
-/// condition is on the ownership, so a second effect changes nothing.
+/// condition is on the ownership, so a second effect changes nothing. Once the table is known to
+/// be down, claims that starts would wait for are refused as they come; the others join the next
+/// group.
 async fn write(
     scope: &Scope,
     key: &compact_str::CompactString,
@@ -113,39 +119,55 @@
     let failing_since = time::Instant::now();
     let mut pause = MIN_PAUSE;
     let tx = transaction(scope, key, old, group);
+    let mut late = Vec::new();
+    let mut down = false;
     loop {
         let begun = time::Instant::now();
-        match (scope.table.commit)(tx.clone()).await {
+        let commit = (scope.table.commit)(tx.clone());
+        match meanwhile(commit, down, rx, &mut late, events).await {
             Ok(Commit::Done(_)) => {
-                (events.written)(&std::mem::take(group), begun);
+                (events.written)(&std::mem::replace(group, late), begun);
                 return true;
             }
             Ok(Commit::Conflict(_)) => return false,
             Err(_) => {}
         }
-        if failing_since.elapsed() >= GIVE_UP {
-            refuse_waiting(group, rx, events);
+        if !down && failing_since.elapsed() >= GIVE_UP {
+            down = true;
+            refuse(group, events);
         }
-        tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+        let jitter = 0.5 + 0.5 * rand::random::<f64>();
+        let sleep = tokio::time::sleep(pause.mul_f64(jitter));
+        meanwhile(sleep, down, rx, &mut late, events).await;
         pause = (pause * 2).min(MAX_PAUSE);
     }
 }
 
-/// Tells those whose starts wait for a claim that it won't come, and keeps the others waiting.
-fn refuse_waiting(
-    group: &[action::Claim],
+/// Awaits something; takes in claims at the same time where the table is known to be down.
+async fn meanwhile<T>(
+    awaited: impl Future<Output = T>,
+    down: bool,
     rx: &mut mpsc::UnboundedReceiver<action::Claim>,
+    late: &mut Vec<action::Claim>,
     events: &Events,
-) {
-    let mut late = Vec::new();
-    while let Ok(claim) = rx.try_recv() {
-        late.push(claim);
+) -> T {
+    tokio::pin!(awaited);
+    loop {
+        tokio::select! {
+            output = &mut awaited => return output,
+            claim = rx.recv(), if down => match claim {
+                Some(claim) if claim.ahead => refuse(&[claim], events),
+                Some(claim) => late.push(claim),
+                None => return awaited.await,
+            },
+        }
     }
-    let all = group.iter().chain(&late);
-    let keys: Vec<_> = all
-        .filter(|claim| claim.ahead)
-        .map(|claim| claim.key.clone())
-        .collect();
+}
+
+/// Tells those whose starts wait for a claim that it won't come.
+fn refuse(claims: &[action::Claim], events: &Events) {
+    let ahead = claims.iter().filter(|claim| claim.ahead);
+    let keys: Vec<_> = ahead.map(|claim| claim.key.clone()).collect();
     (events.refused)(&keys, code::Code::StoreDown);
 }
 
@@ -155,13 +177,18 @@
     old: &mut VecDeque<Written>,
     group: &[action::Claim],
 ) -> Transaction {
+    let at_ms = clock::since_epoch().as_millis() as u64;
     let claims: Vec<_> = group.iter().map(inherit::Claimed::of).collect();
     let mut writes = vec![Write {
         key: key.clone(),
         value: serde_json::to_string(&claims).ok(),
     }];
-    let expired = since_epoch().saturating_sub(ledger::RETENTION);
-    while old.front().is_some_and(|(_, at)| *at < expired) && writes.len() <= MAX_REMOVED {
+    writes.push(Write {
+        key: rows::beat(scope.cell),
+        value: Some(format!("[{},{at_ms}]", scope.epoch)),
+    });
+    let expired = clock::since_epoch().saturating_sub(ledger::RETENTION);
+    while old.front().is_some_and(|(_, at)| *at < expired) && writes.len() <= MAX_REMOVED + 1 {
         let (key, _) = old.pop_front().expect("the front was there");
         writes.push(Write { key, value: None });
     }
@@ -173,9 +200,3 @@
         writes,
     }
 }
-
-/// The wall clock, counted from the Unix epoch.
-pub fn since_epoch() -> time::Duration {
-    let now = time::SystemTime::now();
-    now.duration_since(time::UNIX_EPOCH).unwrap_or_default()
-}
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -4,28 +4,35 @@
 //! on suspicion, and the only question is how soon. `docs/design/claims.md` has the order.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
 use compact_str::CompactString;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3;
 
+use crate::backoff;
+use crate::controller::roll;
+use crate::decide::head;
+use crate::decide::spread;
 use crate::id;
 use crate::wire::platform::{self, Commit, Condition, Revision, Transaction, Write};
 use crate::wire::rows;
 
-/// Pause between beats of an owner, each of which proves that it still is the owner.
-pub const BEAT: time::Duration = time::Duration::from_millis(900);
-
-/// Pause between looks at the cells of others.
-pub const LOOK: time::Duration = time::Duration::from_secs(2);
+/// Age of the last proof of ownership after which an owner beats. It is a little longer than
+/// claims are gathered for, whose writes are proofs and beats as well.
+pub const BEAT: time::Duration = time::Duration::from_millis(1_100);
 
 /// Beats that have to fail to come before a cell is taken from an owner that is only silent.
 pub const SILENCE: time::Duration = time::Duration::from_secs(3);
 
-/// Pause after a failed operation.
+/// Pause between looks while an owner is suspected.
 const RETRY: time::Duration = time::Duration::from_millis(150);
 
+/// Pauses while the table fails, growing from the first to the second with jitter.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(100);
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(1);
+
 /// What an entry is to the ownership.
 #[derive(Clone, Debug)]
 pub struct Candidate {
@@ -54,6 +61,8 @@
     pub other: Box<dyn Fn(id::Cell, &rows::Owner) + Send + Sync>,
     /// The owner was seen in the table by an operation that began at the time given.
     pub seen: Box<dyn Fn(id::Cell, time::Instant) + Send + Sync>,
+    /// The watched rows were read and have changed since the last read.
+    pub head: Box<dyn Fn(&[platform::Row]) + Send + Sync>,
 }
 
 /// The ownership of one entry.
@@ -62,7 +71,11 @@
     candidate: Candidate,
     cells: u16,
     events: Events,
+    roll: roll::Roll,
     inner: Mutex<HashMap<id::Cell, State>>,
+    moves: Mutex<Moves>,
+    sight: Mutex<head::Sight>,
+    outage: Mutex<backoff::Backoff>,
     wake: Notify,
 }
 
@@ -70,10 +83,23 @@
 struct State {
     owned: Option<(id::Epoch, Revision)>,
     beats: u64,
+    /// When the last operation began that proved the ownership.
+    proved: Option<time::Instant>,
     /// What is suspected of the owner of which epoch.
     suspicion: Option<(id::Epoch, Suspicion)>,
     beat_seen: Option<(Revision, time::Instant)>,
     resigned: bool,
+    /// The last epoch under which this entry owned the cell.
+    served: Option<id::Epoch>,
+    /// Since when the cell has been seen without an owner.
+    vacant: Option<time::Instant>,
+}
+
+/// When cells last came to this entry.
+#[derive(Debug, Default)]
+struct Moves {
+    taken: Option<time::Instant>,
+    pulled: Option<time::Instant>,
 }
 
 /// Opens the ownership of one entry.
@@ -84,11 +110,15 @@
     events: Events,
 ) -> Arc<Ownership> {
     Arc::new(Ownership {
+        roll: roll::open(table.clone(), candidate.entry.clone()),
+        moves: Mutex::default(),
         table,
         candidate,
         cells,
         events,
         inner: Mutex::default(),
+        sight: Mutex::default(),
+        outage: Mutex::new(backoff::open(MIN_PAUSE, MAX_PAUSE)),
         wake: Notify::new(),
     })
 }
@@ -116,8 +146,19 @@
         self.wake.notify_one();
     }
 
+    /// Forgets that a cell was owned until the next look finds it again.
+    pub fn forget(&self, cell: id::Cell) {
+        self.change(cell, |state| {
+            state.owned = None;
+            state.served = None;
+        });
+    }
+
     /// Hands all owned cells over: others find them without an owner. Takes none from now on.
     pub async fn resign(&self) {
+        if self.spreads() {
+            self.roll.leave().await;
+        }
         for cell in 0..self.cells {
             let state = self.change(cell, |state| {
                 state.resigned = true;
@@ -133,9 +174,11 @@
                 epoch,
             };
             let value = serde_json::to_string(&vacant).unwrap_or_default();
-            let _ =
-                (self.table.commit)(Transaction::put_if(&rows::cell(cell), revision, value)).await;
-            self.change(cell, |state| state.owned = None);
+            let tx = Transaction::put_if(&rows::cell(cell), revision, value);
+            // Where the write failed the cell is still owned, or a later look finds it vacant.
+            if (self.table.commit)(tx).await.is_ok() {
+                self.change(cell, |state| state.owned = None);
+            }
         }
     }
 
@@ -147,70 +190,187 @@
         self.wake.notify_one();
     }
 
+    /// Notes that an operation which began at `begun` proved the ownership and changed the beat's
+    /// row, so that no beat of its own is due for a while.
+    pub fn proved(&self, cell: id::Cell, begun: time::Instant) {
+        self.change(cell, |state| state.proved = state.proved.max(Some(begun)));
+    }
+
+    /// Notes what another entry read of the watched rows.
+    pub fn hear(&self, digest: head::Digest, age: time::Duration) {
+        let news = self.sight().hear(time::Instant::now(), digest, age);
+        if news {
+            self.wake.notify_one();
+        }
+    }
+
+    /// What other entries may be told of the watched rows.
+    pub fn tell(&self) -> Option<(head::Digest, time::Duration)> {
+        self.sight().tell(time::Instant::now())
+    }
+
     /// Watches for ever.
     pub async fn run(self: Arc<Self>) {
-        let mut looked = None;
         loop {
-            let due = looked.is_none_or(|at: time::Instant| at.elapsed() >= LOOK);
-            let woken = self.wait(due).await;
-            if woken || due {
+            let woken = tokio::time::timeout(self.pause(), self.wake.notified()).await;
+            // A table that is down is asked at a falling pace, whoever wants to know.
+            tokio::time::sleep(self.outage(|outage| outage.left())).await;
+            if woken.is_ok() || self.is_suspicious() || self.look_due_in().is_zero() {
                 self.look_at_cells().await;
-                looked = Some(time::Instant::now());
             }
             self.beat_for_cells().await;
         }
     }
 
-    async fn wait(&self, at_once: bool) -> bool {
-        if at_once {
-            return false;
-        }
-        let suspicious = {
+    fn pause(&self) -> time::Duration {
+        let suspicious = self.is_suspicious().then_some(RETRY);
+        let beat = self.beat_due_in();
+        let soonest = [suspicious, beat].into_iter().flatten().min();
+        let look = self.look_due_in();
+        soonest.map_or(look, |soonest| soonest.min(look))
+    }
+
+    fn is_suspicious(&self) -> bool {
+        let inner = self.inner.lock().expect("the ownership is whole");
+        inner
+            .values()
+            .any(|state| state.owned.is_none() && state.is_pending())
+    }
+
+    fn look_due_in(&self) -> time::Duration {
+        let owns = {
             let inner = self.inner.lock().expect("the ownership is whole");
-            inner
-                .values()
-                .any(|state| state.suspicion.is_some() && state.owned.is_none())
+            inner.values().any(|state| state.owned.is_some())
         };
-        let pause = if suspicious { RETRY } else { BEAT };
-        let woken = tokio::time::timeout(pause, self.wake.notified())
-            .await
-            .is_ok();
-        woken || suspicious
+        // Where there are cells to spread, every entry has to see what the others hold.
+        let watches = owns || self.spreads();
+        self.sight().due_in(time::Instant::now(), watches)
+    }
+
+    fn beat_due_in(&self) -> Option<time::Duration> {
+        let now = time::Instant::now();
+        let inner = self.inner.lock().expect("the ownership is whole");
+        inner
+            .values()
+            .filter_map(|state| state.beat_due_in(now))
+            .min()
     }
 
     async fn look_at_cells(&self) {
-        let Ok(found) = (self.table.scan)(rows::CELLS.into()).await else {
-            tokio::time::sleep(RETRY).await;
+        let begun = time::Instant::now();
+        let found = (self.table.scan)(rows::HEAD.into()).await;
+        let Ok(found) = self.note(found) else {
             return;
         };
+        if self.sight().read(begun, digest(&found)) {
+            (self.events.head)(&found);
+        }
         let by_key: HashMap<_, _> = found.iter().map(|row| (row.key.clone(), row)).collect();
-        for cell in 0..self.cells {
+        let mut holdings = self.holdings(&found).await;
+        for cell in spread::order(&self.candidate.entry, self.cells) {
             let row = by_key.get(&rows::cell(cell)).copied();
-            self.look_at(cell, row).await;
+            if self.look_at(cell, row, &holdings).await {
+                holdings.add(&self.candidate.entry, cell);
+            }
+        }
+        self.pull(&holdings, &by_key).await;
+    }
+
+    /// Tells whether there are cells to spread.
+    fn spreads(&self) -> bool {
+        self.cells > 1
+    }
+
+    /// Who is alive and holds what. With one cell there is nothing to wait for.
+    async fn holdings(&self, found: &[platform::Row]) -> spread::Holdings {
+        if !self.spreads() || self.change(0, |state| state.resigned) {
+            return spread::Holdings::default();
+        }
+        let alive = self.roll.call().await;
+        let owners: Vec<_> = (0..self.cells)
+            .filter_map(|cell| Some((cell, owner_of(found, cell)?.entry)))
+            .collect();
+        spread::Holdings::gather(&alive, owners.iter().map(|(cell, id)| (*cell, id)))
+    }
+
+    /// Pulls one cell where another entry holds too many.
+    async fn pull(
+        &self,
+        holdings: &spread::Holdings,
+        by_key: &HashMap<CompactString, &platform::Row>,
+    ) {
+        let Some(cell) = holdings.pull(&self.candidate.entry) else {
+            return;
+        };
+        {
+            let pulled = &mut self.moves.lock().expect("the ownership is whole").pulled;
+            // The first look of an entry sees others that have not looked yet.
+            let since = *pulled.get_or_insert_with(time::Instant::now);
+            if since.elapsed() < spread::PULL_PAUSE {
+                return;
+            }
+            *pulled = Some(time::Instant::now());
+        }
+        let Some(row) = by_key.get(&rows::cell(cell)) else {
+            return;
+        };
+        if let Ok(owner) = serde_json::from_str::<rows::Owner>(&row.value) {
+            log::info!(
+                "cell {cell} is pulled from {}, which holds more",
+                owner.entry
+            );
+            self.take(cell, row.revision, owner.epoch).await;
         }
     }
 
-    async fn look_at(&self, cell: id::Cell, row: Option<&platform::Row>) {
+    /// Looks at one cell; a vacant one is left for a while to entries that hold fewer. Tells
+    /// whether it was taken.
+    async fn look_at(
+        &self,
+        cell: id::Cell,
+        row: Option<&platform::Row>,
+        holdings: &spread::Holdings,
+    ) -> bool {
         let revision = row.map_or(0, |row| row.revision);
         let owner = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
         let Some(owner) = owner.filter(|owner| !owner.entry.is_empty()) else {
             let epoch = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
-            self.take(cell, revision, epoch.map_or(0, |owner| owner.epoch))
+            if !self.has_waited(cell, holdings) {
+                return false;
+            }
+            return self
+                .take(cell, revision, epoch.map_or(0, |owner| owner.epoch))
                 .await;
-            return;
         };
         let mine = owner.entry == self.candidate.entry;
         if mine && owner.incarnation == self.candidate.incarnation {
+            // An owner that was let go must not come back under its epoch: its starts that are
+            // still on their way would pass the fence after the agents' reports.
+            let was_let_go = self.change(cell, |state| {
+                state.owned.is_none() && state.served == Some(owner.epoch)
+            });
+            if was_let_go {
+                return self.take(cell, revision, owner.epoch).await;
+            }
             self.own(cell, owner.epoch, revision);
-            return;
+            return false;
         }
         self.change(cell, |state| state.owned = None);
         // An earlier life of this entry surely runs no more.
         if mine || self.is_gone(cell, owner.epoch).await {
-            self.take(cell, revision, owner.epoch).await;
-            return;
+            return self.has_waited(cell, holdings) && self.take(cell, revision, owner.epoch).await;
         }
+        self.change(cell, |state| state.vacant = None);
         (self.events.other)(cell, &owner);
+        false
+    }
+
+    /// Tells whether a cell has been without an owner for long enough.
+    fn has_waited(&self, cell: id::Cell, holdings: &spread::Holdings) -> bool {
+        let now = time::Instant::now();
+        let vacant = self.change(cell, |state| *state.vacant.get_or_insert(now));
+        let taken = self.moves.lock().expect("the ownership is whole").taken;
+        holdings.may_take(&self.candidate.entry, now, vacant, taken)
     }
 
     /// Tells whether a suspected owner is to be replaced.
@@ -235,9 +395,10 @@
         }
     }
 
-    async fn take(&self, cell: id::Cell, revision: Revision, epoch: id::Epoch) {
+    /// Takes a cell, and tells whether it surely did.
+    async fn take(&self, cell: id::Cell, revision: Revision, epoch: id::Epoch) -> bool {
         if self.change(cell, |state| state.resigned) {
-            return;
+            return false;
         }
         // Candidates that saw the same are spread a little, so that most never try in vain.
         tokio::time::sleep(time::Duration::from_millis(rand::random_range(0..40))).await;
@@ -250,9 +411,17 @@
         let value = serde_json::to_string(&owner).unwrap_or_default();
         let tx = Transaction::put_if(&rows::cell(cell), revision, value);
         match (self.table.commit)(tx).await {
-            Ok(Commit::Done(revision)) => self.own(cell, epoch + 1, revision),
+            Ok(Commit::Done(revision)) => {
+                self.moves.lock().expect("the ownership is whole").taken =
+                    Some(time::Instant::now());
+                self.own(cell, epoch + 1, revision);
+                true
+            }
             // Somebody else was quicker, or the answer was lost: the next look tells.
-            Ok(Commit::Conflict(_)) | Err(_) => self.wake.notify_one(),
+            Ok(Commit::Conflict(_)) | Err(_) => {
+                self.wake.notify_one();
+                false
+            }
         }
     }
 
@@ -260,8 +429,10 @@
         let news = self.change(cell, |state| {
             let news = state.owned != Some((epoch, revision));
             state.owned = Some((epoch, revision));
+            state.served = Some(epoch);
             state.suspicion = None;
             state.beat_seen = None;
+            state.vacant = None;
             news
         });
         if news {
@@ -269,14 +440,13 @@
         }
     }
 
-    /// Beats for every owned cell, and learns from the condition whether it is still owned.
+    /// Beats for every owned cell that nothing else proved lately, and learns from the condition
+    /// whether it is still owned.
     async fn beat_for_cells(&self) {
         for cell in 0..self.cells {
-            let state = self.change(cell, |state| {
-                state.beats += 1;
-                state.clone()
-            });
-            let Some((epoch, revision)) = state.owned else {
+            let now = time::Instant::now();
+            let due = self.change(cell, |state| state.begin_beat(now));
+            let Some((epoch, revision, beat)) = due else {
                 continue;
             };
             let tx = Transaction {
@@ -286,12 +456,15 @@
                 }],
                 writes: vec![Write {
                     key: rows::beat(cell),
-                    value: Some(format!("[{epoch},{}]", state.beats)),
+                    value: Some(format!("[{epoch},{beat}]")),
                 }],
             };
-            let begun = time::Instant::now();
-            match (self.table.commit)(tx).await {
-                Ok(Commit::Done(_)) => (self.events.seen)(cell, begun),
+            let committed = (self.table.commit)(tx).await;
+            match self.note(committed) {
+                Ok(Commit::Done(_)) => {
+                    self.proved(cell, now);
+                    (self.events.seen)(cell, now);
+                }
                 Ok(Commit::Conflict(_)) => self.deposed(cell),
                 Err(_) => {}
             }
@@ -302,4 +475,60 @@
         let mut inner = self.inner.lock().expect("the ownership is whole");
         f(inner.entry(cell).or_default())
     }
+
+    /// Notes whether the table answered, for the pause before it is asked again.
+    fn note<T>(&self, answer: Result<T, platform::Error>) -> Result<T, platform::Error> {
+        self.outage(|outage| outage.note(answer.is_ok()));
+        answer
+    }
+
+    fn outage<T>(&self, f: impl FnOnce(&mut backoff::Backoff) -> T) -> T {
+        f(&mut self.outage.lock().expect("the outage is whole"))
+    }
+
+    fn sight(&self) -> MutexGuard<'_, head::Sight> {
+        self.sight.lock().expect("the sight is whole")
+    }
+}
+
+impl State {
+    /// Time until a beat is due, if the cell is owned.
+    fn beat_due_in(&self, now: time::Instant) -> Option<time::Duration> {
+        self.owned?;
+        let due = self.proved.map_or(now, |at| at + BEAT);
+        Some(due.saturating_duration_since(now))
+    }
+
+    fn begin_beat(&mut self, now: time::Instant) -> Option<(id::Epoch, Revision, u64)> {
+        if !self.beat_due_in(now)?.is_zero() {
+            return None;
+        }
+        let (epoch, revision) = self.owned?;
+        self.beats += 1;
+        Some((epoch, revision, self.beats))
+    }
+}
+
+/// Sums up rows by their revisions, in 53 bits, which JSON numbers of other languages hold.
+fn digest(rows: &[platform::Row]) -> head::Digest {
+    let mut hasher = xxh3::Xxh3::new();
+    for row in rows {
+        hasher.update(row.key.as_bytes());
+        hasher.update(&row.revision.to_be_bytes());
+    }
+    hasher.digest() >> 11
+}
+
+impl State {
+    /// Tells whether the cell is to be looked at again soon.
+    fn is_pending(&self) -> bool {
+        self.suspicion.is_some() || self.vacant.is_some()
+    }
+}
+
+/// The owner of a cell, by the rows found.
+fn owner_of(found: &[platform::Row], cell: id::Cell) -> Option<rows::Owner> {
+    let key = rows::cell(cell);
+    let row = found.iter().find(|row| row.key == key)?;
+    serde_json::from_str(&row.value).ok()
 }
--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -156,6 +156,12 @@
         self.claims.is_some() && (awaited.is_empty() || now >= self.give_up)
     }
 
+    /// Tells whether an earlier owner's claim or an agent's report names a key.
+    pub fn knows(&self, key: &id::JobKey) -> bool {
+        let claimed = self.claims.as_ref();
+        claimed.is_some_and(|claims| claims.contains_key(key)) || self.seen.contains_key(key)
+    }
+
     /// Members that have not reported.
     pub fn unaccounted(&self) -> usize {
         self.awaited.as_ref().map_or(0, BTreeSet::len)
--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -8,6 +8,7 @@
 
 use crate::code;
 use crate::decide::action;
+use crate::decide::timing;
 use crate::id;
 use crate::refusal;
 use crate::submission;
@@ -25,6 +26,8 @@
         attempt: u32,
         /// When it was sent.
         at: time::Instant,
+        /// When it had begun to wait for a slot.
+        queued: time::Instant,
         /// Slot time that was booked for it.
         estimate: time::Duration,
     },
@@ -69,6 +72,8 @@
     pub attempts: u32,
     /// Agents that were sent any of its tasks.
     pub agents: BTreeSet<id::AgentId>,
+    /// Where its time went so far.
+    pub moments: timing::Moments,
     /// How it ended, once it has.
     pub ending: Option<Arc<submission::Ending>>,
 }
@@ -77,6 +82,7 @@
     /// Opens a job of which nothing was started.
     pub fn open(
         submission: Arc<submission::Submission>,
+        now: time::Instant,
         deadline: time::Instant,
         claim: Claim,
     ) -> Job {
@@ -90,6 +96,7 @@
             claim,
             attempts: 0,
             agents: BTreeSet::new(),
+            moments: timing::Moments::open(now),
             ending: None,
         }
     }
@@ -101,6 +108,28 @@
             .any(|task| !matches!(task, Progress::Waiting | Progress::Dropped))
     }
 
+    /// Agents that have tasks of the job without an answer.
+    pub fn holders(&self) -> BTreeSet<id::AgentId> {
+        let holder = |task: &Progress| match task {
+            Progress::Sent { agent, .. } | Progress::Inherited { agent } => Some(agent.clone()),
+            _ => None,
+        };
+        self.tasks.iter().filter_map(holder).collect()
+    }
+
+    /// Bytes of the inputs and of the ending that the job keeps.
+    pub fn bytes(&self) -> usize {
+        let inputs = self.submission.job.tasks.iter();
+        let inputs: usize = inputs.map(|task| task.input.get().len()).sum();
+        let answers = match self.ending.as_deref() {
+            Some(submission::Ending::Complete(answers)) => {
+                answers.iter().map(|answer| answer.get().len()).sum()
+            }
+            Some(submission::Ending::Failed(_)) | None => 0,
+        };
+        inputs + answers
+    }
+
     /// The complete answer, once every task has one.
     pub fn complete(&self) -> Option<submission::Ending> {
         if self.left > 0 {
@@ -121,7 +150,8 @@
             (code::Code::Cancelled, false) => code::Code::CancelledBefore,
             (code::Code::TaskTimeout, false) => code::Code::Expired,
             // "Not run" is only ever said of a job no task of which was handed out.
-            (reason, true) if reason.outcome() == code::Outcome::NotRun => code::Code::TaskTimeout,
+            (code::Code::Expired, true) => code::Code::TaskTimeout,
+            (reason, true) if reason.outcome() == code::Outcome::NotRun => code::Code::RetriesSpent,
             (reason, _) => reason,
         };
         refusal::Refusal::new(code)
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -8,13 +8,22 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::class;
 use crate::code;
 use crate::decide::order;
 use crate::id;
 use crate::task;
 
-/// How long a record outlives its job's last event. Callers may resubmit for this long.
-pub const RETENTION: time::Duration = time::Duration::from_secs(600);
+/// How long after its end a submission may be sent again under its key.
+pub const RESUBMIT: time::Duration = time::Duration::from_secs(600);
+
+/// How long records, claims and lost lives are remembered.
+///
+/// A job may end as late as the longest target after its acceptance, with the last event at one
+/// agent early in that time. Whatever tells of it must last until nobody may resubmit any more.
+pub const RETENTION: time::Duration = class::MAX_TARGET
+    .saturating_add(RESUBMIT)
+    .saturating_add(time::Duration::from_secs(10));
 
 /// Most bytes of answers that are kept for owners that haven't acknowledged them.
 pub const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,13 +3,24 @@
 //! The daemons feed these parts; tests, the model checker and the measurements drive the same code.
 
 pub mod action;
+pub mod backlog;
+pub mod budget;
 pub mod config;
+pub mod delivery;
+pub mod demand;
 pub mod estimate;
 pub mod fleet;
+pub mod head;
+pub mod health;
 pub mod inherit;
 pub mod job;
 pub mod ledger;
+pub mod line;
 pub mod notice;
 pub mod order;
 pub mod owner;
 pub mod queue;
+pub mod retry;
+pub mod shape;
+pub mod spread;
+pub mod timing;
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -8,6 +8,7 @@
 use crate::decide::job::{self, Progress};
 use crate::decide::order;
 use crate::decide::owner::{self, Owner};
+use crate::decide::timing;
 use crate::id;
 use crate::refusal;
 use crate::submission;
@@ -20,7 +21,7 @@
         waiter: action::Waiter,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(&submission.key) else {
-            return false;
+            return self.attach_gone(submission, waiter);
         };
         if job.submission.digest != submission.digest {
             self.refuse(waiter, refusal::Refusal::new(code::Code::KeyReused));
@@ -33,6 +34,40 @@
         true
     }
 
+    /// Answers for a job that ended and whose ending is no longer kept.
+    ///
+    /// Guards against a second run: the key of a forgotten job would look fresh to this owner,
+    /// which has read the claims of earlier owners only.
+    fn attach_gone(&mut self, submission: &submission::Submission, waiter: action::Waiter) -> bool {
+        let Some(digest) = self.gone.get(&submission.key) else {
+            return false;
+        };
+        let code = if *digest == submission.digest {
+            code::Code::AnswerGone
+        } else {
+            code::Code::KeyReused
+        };
+        self.refuse(waiter, refusal::Refusal::new(code));
+        true
+    }
+
+    /// Withdraws a job that this owner hasn't taken up: an earlier owner's, or none at all.
+    pub(super) fn cancel_unknown(&mut self, key: &id::JobKey, waiter: action::Waiter) {
+        let code = if self.gone.contains_key(key) {
+            code::Code::AnswerGone
+        } else if !self.ready || self.inheritance.knows(key) {
+            // "Not found" would say that nothing of it ran.
+            for agent in self.fleet.agents().keys() {
+                let order = order::Order::Cancel(key.clone());
+                self.actions.push(Action::Order(agent.clone(), order));
+            }
+            code::Code::MayHaveRun
+        } else {
+            code::Code::NotFound
+        };
+        self.refuse(waiter, refusal::Refusal::new(code));
+    }
+
     pub(super) fn refuse(&mut self, waiter: action::Waiter, refusal: refusal::Refusal) {
         let ending = Arc::new(submission::Ending::Failed(refusal));
         self.actions.push(Action::Reply(waiter, ending));
@@ -46,28 +81,38 @@
         if job.ending.is_some() {
             return;
         }
-        let refusal = job.refusal(reason);
+        let mut refusal = job.refusal(reason);
+        if refusal.code == code::Code::Expired {
+            refusal = refusal.retry_after(self.wait_of(&job.submission.job.customer));
+        }
+        if refusal.code == code::Code::StoreDown {
+            refusal = refusal.retry_after(owner::STORE_RETRY);
+        }
         let withdrawn = self.queue.remove(key);
         let job = self.jobs.get_mut(key).expect("the job was there");
         for task in &withdrawn {
             job.tasks[task.id.index as usize] = Progress::Dropped;
         }
-        for agent in &job.agents {
-            self.actions.push(Action::Order(
-                agent.clone(),
-                order::Order::Cancel(key.clone()),
-            ));
+        // One order for each agent that still has tasks of the job, however many those are.
+        for agent in job.holders() {
+            self.actions
+                .push(Action::Order(agent, order::Order::Cancel(key.clone())));
         }
         let forget = refusal.not_run && refusal.code != code::Code::CancelledBefore;
         self.end(now, key, submission::Ending::Failed(refusal));
         if forget {
             // Nothing ran, so a retry under the same key starts from nothing.
-            self.jobs.remove(key);
+            if let Some(job) = self.jobs.remove(key) {
+                self.kept_bytes -= job.bytes();
+            }
         }
     }
 
     pub(super) fn end(&mut self, now: time::Instant, key: &id::JobKey, ending: submission::Ending) {
         let job = self.jobs.get_mut(key).expect("a job that ends is there");
+        if let Some(timing) = job_timing(job, now, &ending) {
+            self.actions.push(Action::Record(timing));
+        }
         let ending = Arc::new(ending);
         job.ending = Some(ending.clone());
         for waiter in std::mem::take(&mut job.waiters) {
@@ -79,6 +124,7 @@
             }
         }
         self.deadlines.remove(&(job.deadline, key.clone()));
+        self.kept_bytes += job.bytes();
         self.ended.push_back((now, key.clone()));
         self.unacknowledged.push_back((now, key.clone()));
     }
@@ -107,17 +153,44 @@
         }
     }
 
+    /// Drops endings that are old or too many, and later their keys too.
     pub(super) fn forget(&mut self, now: time::Instant) {
+        let is_old = |at: time::Instant| now.saturating_duration_since(at) >= owner::KEEP;
         while let Some((at, key)) = self.ended.front() {
-            let old = now.saturating_duration_since(*at) >= owner::KEEP
-                || self.ended.len() > owner::MAX_KEPT;
-            if !old {
-                return;
+            let full =
+                self.ended.len() > owner::MAX_KEPT || self.kept_bytes > owner::MAX_KEPT_BYTES;
+            if !is_old(*at) && !full {
+                break;
             }
-            if self.jobs.get(key).is_some_and(|job| job.ending.is_some()) {
-                self.jobs.remove(key);
+            let has_ended = self.jobs.get(key).is_some_and(|job| job.ending.is_some());
+            if let Some(job) = has_ended.then(|| self.jobs.remove(key)).flatten() {
+                self.kept_bytes -= job.bytes();
+                self.gone.insert(key.clone(), job.submission.digest);
+                self.gone_order.push_back((*at, key.clone()));
             }
             self.ended.pop_front();
         }
+        while self.gone_order.front().is_some_and(|(at, _)| is_old(*at)) {
+            if let Some((_, key)) = self.gone_order.pop_front() {
+                self.gone.remove(&key);
+            }
+        }
     }
 }
+
+/// Where the time of a job went; nothing without a trace.
+fn job_timing(
+    job: &job::Job,
+    now: time::Instant,
+    ending: &submission::Ending,
+) -> Option<timing::Timing> {
+    Some(timing::Timing::Job(timing::Job {
+        traceparent: job.submission.traceparent.clone()?,
+        key: job.submission.key.clone(),
+        tasks: job.tasks.len(),
+        submitted: job.moments.submitted,
+        startable: job.moments.startable,
+        ended: now,
+        failure: ending.failure(),
+    }))
+}
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -16,12 +16,15 @@
 use crate::class;
 use crate::code;
 use crate::decide::action::{self, Action};
+use crate::decide::demand;
 use crate::decide::estimate;
 use crate::decide::fleet;
+use crate::decide::health;
 use crate::decide::inherit;
 use crate::decide::job;
 use crate::decide::ledger;
 use crate::decide::queue;
+use crate::decide::retry;
 use crate::id;
 use crate::refusal;
 use crate::submission;
@@ -34,11 +37,17 @@
 pub const ACKNOWLEDGE_AFTER: time::Duration = time::Duration::from_secs(10);
 
 /// How long an ending is kept for resubmissions.
-pub const KEEP: time::Duration = ledger::RETENTION;
+pub const KEEP: time::Duration = ledger::RESUBMIT;
 
-/// Most ended jobs that are kept.
+/// Most ended jobs whose endings are kept; of older ones only the key is, until [`KEEP`] is over.
 pub const MAX_KEPT: usize = 20_000;
 
+/// Most bytes of the inputs and answers of ended jobs that are kept.
+pub const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
+/// When to come back where the table can't be reached.
+const STORE_RETRY: time::Duration = time::Duration::from_secs(1);
+
 /// What the operators and the command line set for an owner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Policy {
@@ -63,11 +72,18 @@
     jobs: HashMap<id::JobKey, job::Job>,
     deadlines: BTreeSet<(time::Instant, id::JobKey)>,
     ended: VecDeque<(time::Instant, id::JobKey)>,
+    kept_bytes: usize,
+    /// Digests of ended jobs whose endings are no longer kept.
+    gone: HashMap<id::JobKey, u64>,
+    gone_order: VecDeque<(time::Instant, id::JobKey)>,
     unacknowledged: VecDeque<(time::Instant, id::JobKey)>,
     outstanding: HashMap<id::AgentId, BTreeSet<task::Id>>,
     queue: queue::Queue,
     fleet: fleet::Fleet,
     estimates: estimate::Estimates,
+    demand: demand::Demand,
+    health: health::Health,
+    retries: retry::Budget,
     config: Arc<class::Versioned>,
     table_seen: time::Instant,
     actions: Vec<Action>,
@@ -92,11 +108,17 @@
             jobs: HashMap::new(),
             deadlines: BTreeSet::new(),
             ended: VecDeque::new(),
+            kept_bytes: 0,
+            gone: HashMap::new(),
+            gone_order: VecDeque::new(),
             unacknowledged: VecDeque::new(),
             outstanding: HashMap::new(),
             queue: queue::Queue::open(policy.queue, now),
             fleet: fleet::Fleet::open(policy.placement, epoch),
             estimates: estimate::Estimates::default(),
+            demand: demand::Demand::open(now),
+            health: health::Health::default(),
+            retries: retry::Budget::open(),
             config,
             table_seen: now,
             actions: Vec::new(),
@@ -208,7 +230,7 @@
     /// Withdraws a job; the waiter is told how the job ended.
     pub fn cancel(&mut self, now: time::Instant, key: &id::JobKey, waiter: action::Waiter) {
         let Some(job) = self.jobs.get_mut(key) else {
-            self.refuse(waiter, refusal::Refusal::new(code::Code::NotFound));
+            self.cancel_unknown(key, waiter);
             return;
         };
         if let Some(ending) = &job.ending {
@@ -233,7 +255,7 @@
             let awaited = job.claim == job::Claim::Awaited;
             job.claim = job::Claim::Written;
             if awaited && job.ending.is_none() {
-                self.enqueue(key);
+                self.enqueue(now, key);
             }
         }
         self.dispatch(now);
@@ -261,18 +283,8 @@
             }
             self.fail(now, &key, code::Code::TaskTimeout);
         }
-        let is_lost = |agent: &fleet::Agent| {
-            agent.state == fleet::State::Silent
-                && now.saturating_duration_since(agent.since) >= LOST_AFTER
-        };
-        let agents = self.fleet.agents().iter();
-        let lost: Vec<id::AgentId> = agents
-            .filter(|(_, a)| is_lost(a))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in lost {
-            self.lose(now, &id);
-        }
+        self.tend_agents(now);
+        self.sort_customers(now);
         self.acknowledge(now);
         self.forget(now);
         self.dispatch(now);
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -1,7 +1,7 @@
 //! What the parts of an entry share, and how a submission finds the owner of its cell.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, Weak};
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use compact_str::CompactString;
@@ -13,6 +13,8 @@
 use crate::controller::ownership;
 use crate::count;
 use crate::entry::cell::{self, Cell, Waiter};
+use crate::entry::events;
+use crate::entry::inward;
 use crate::entry::peers::{self, Peers};
 use crate::entry::Config;
 use crate::id;
@@ -71,6 +73,7 @@
         peer_addr: CompactString,
         platform: platform::Platform,
         messages: count::Messages,
+        door: inward::Door,
     ) -> Arc<Core> {
         Arc::new_cyclic(|core| {
             let candidate = ownership::Candidate {
@@ -79,12 +82,12 @@
                 addr: peer_addr,
             };
             let table = platform.table.clone();
-            let events = ownership_events(core);
+            let events = events::ownership(core);
             let nowhere = || Mutex::new(Place::Nowhere);
             Core {
                 config: config::open(table.clone()),
                 ownership: ownership::open(table, candidate, cfg.cells, events),
-                peers: Peers::open(cfg.id.clone()),
+                peers: Peers::open(door),
                 places: std::iter::repeat_with(nowhere)
                     .take(cfg.cells.into())
                     .collect(),
@@ -102,14 +105,8 @@
 
     /// Starts the loops.
     pub fn spawn(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
-        let core = Arc::downgrade(self);
-        let changed = move |config: Arc<crate::class::Versioned>| {
-            if let Some(core) = core.upgrade() {
-                core.configure(&config);
-            }
-        };
         vec![
-            tokio::spawn(self.config.clone().run(changed)),
+            tokio::spawn(self.config.clone().run(events::config(self))),
             tokio::spawn(self.ownership.clone().run()),
             tokio::spawn(peers::tend(Arc::downgrade(self))),
         ]
@@ -233,25 +230,17 @@
         class.map_or(NO_OWNER_AFTER, |class| class.target().min(NO_OWNER_AFTER))
     }
 
-    fn configure(&self, config: &Arc<crate::class::Versioned>) {
-        for place in self.places() {
-            if let Place::Here(cell) = place {
-                cell.configure(config.clone());
-            }
-        }
-        self.ownership.look();
-    }
-
     /// Takes up a cell that this entry has won.
-    fn won(self: &Arc<Self>, cell: id::Cell, epoch: id::Epoch, revision: platform::Revision) {
+    pub fn won(self: &Arc<Self>, cell: id::Cell, epoch: id::Epoch, revision: platform::Revision) {
         let Some(config) = self.config.get() else {
             // Without a configuration nothing may be served. Forgetting the ownership makes the
-            // next look report it again.
-            self.ownership.deposed(cell);
+            // look after the first configuration report it again.
+            self.ownership.forget(cell);
             return;
         };
         log::info!("this entry owns cell {cell} at epoch {epoch}");
         let ownership = Arc::downgrade(&self.ownership);
+        let proving = ownership.clone();
         let owner = cell::spawn(cell::Scope {
             cell,
             epoch,
@@ -266,6 +255,11 @@
                     ownership.deposed(cell);
                 }
             }),
+            proved: Box::new(move |begun| {
+                if let Some(ownership) = proving.upgrade() {
+                    ownership.proved(cell, begun);
+                }
+            }),
         });
         self.put(cell, Place::Here(owner));
     }
@@ -282,7 +276,8 @@
         self.moved.notify_waiters();
     }
 
-    fn other(&self, cell: id::Cell, owner: &rows::Owner) {
+    /// Notes that another entry owns a cell.
+    pub fn other(&self, cell: id::Cell, owner: &rows::Owner) {
         let same = match self.place(cell) {
             Place::There(known) => known == *owner,
             Place::Here(_) | Place::Nowhere => false,
@@ -343,30 +338,6 @@
     }
 }
 
-fn ownership_events(core: &Weak<Core>) -> ownership::Events {
-    let (won, other, seen) = (core.clone(), core.clone(), core.clone());
-    ownership::Events {
-        won: Box::new(move |cell, epoch, revision| {
-            if let Some(core) = won.upgrade() {
-                core.won(cell, epoch, revision);
-            }
-        }),
-        other: Box::new(move |cell, owner| {
-            if let Some(core) = other.upgrade() {
-                core.other(cell, owner);
-            }
-        }),
-        seen: Box::new(move |cell, begun| {
-            let Some(core) = seen.upgrade() else {
-                return;
-            };
-            if let Place::Here(owner) = core.place(cell) {
-                owner.table_seen(begun);
-            }
-        }),
-    }
-}
-
 /// Counts a submission as in flight for as long as its caller waits.
 struct Flight<'a>(&'a Core);
 
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -2,22 +2,26 @@
 
 use std::net;
 use std::sync::Arc;
+use std::time;
 
 use compact_str::CompactString;
 use gotham::hyper::{StatusCode, Uri};
 
+use crate::clock;
 use crate::code::Code;
-use crate::controller::claims;
 use crate::count;
 use crate::decide::inherit;
 use crate::entry::core::Core;
+use crate::entry::offload;
 use crate::entry::operate;
+use crate::entry::spans;
 use crate::entry::status;
 use crate::filter;
+use crate::id;
 use crate::key;
 use crate::refusal::Refusal;
 use crate::submission::{Ending, Submission};
-use crate::wire::backend;
+use crate::trace::{self, Hop};
 use crate::wire::caller;
 use crate::wire::server::{self, Incoming, Reply};
 
@@ -45,6 +49,12 @@
         ("POST", "/v1/drain") => operate::drain(core),
         ("GET", "/metrics") => Reply::text(StatusCode::OK, status::metrics(core)),
         ("GET", "/healthz") => Reply::text(StatusCode::OK, "ok\n".to_owned()),
+        ("GET", "/readyz/owner") if core.is_ready() && core.owns_any() => {
+            Reply::text(StatusCode::OK, "owner\n".to_owned())
+        }
+        ("GET", "/readyz/owner") => {
+            Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not an owner\n".to_owned())
+        }
         ("GET", "/readyz") if core.is_ready() => Reply::text(StatusCode::OK, "ready\n".to_owned()),
         ("GET", "/readyz") => {
             Reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
@@ -56,27 +66,45 @@
 async fn submit(core: &Arc<Core>, kind: filter::Kind, incoming: Incoming) -> Reply {
     core.messages.add(count::Kind::Submit, 1);
     core.messages.add(count::Kind::Reply, 1);
-    match take(core, kind, incoming).await {
-        Ok(submission) => {
+    let begun = time::Instant::now();
+    let hop = Hop::first(incoming.header(trace::TRACEPARENT));
+    let record = |key: Option<&id::JobKey>, failure: Option<Code>| {
+        if let Some(hop) = hop {
+            spans::submission(hop, begun, &core.cfg.id, key, failure);
+        }
+    };
+    match take(core, kind, hop, incoming).await {
+        Ok((submission, inputs)) => {
             let ending = core.run(submission.clone()).await;
-            reply(&submission.key, &ending)
+            offload::forget(&core.platform.objects, inputs, &ending);
+            record(Some(&submission.key), ending.failure());
+            reply(core, &submission.key, &ending).await
+        }
+        Err(refusal) => {
+            record(None, Some(refusal.code));
+            Reply::refusal(&refusal)
         }
-        Err(refusal) => Reply::refusal(&refusal),
     }
 }
 
-/// Takes a submission through the filter chain.
+/// Takes a submission through the filter chain. Returns it with the names of inputs that were
+/// stored for it.
 async fn take(
     core: &Core,
     kind: filter::Kind,
+    hop: Option<Hop>,
     incoming: Incoming,
-) -> Result<Arc<Submission>, Refusal> {
+) -> Result<(Arc<Submission>, Vec<CompactString>), Refusal> {
     let key = incoming
         .header(caller::IDEMPOTENCY_KEY)
         .map(CompactString::from);
-    let traceparent = incoming
-        .header(backend::TRACEPARENT)
-        .map(CompactString::from);
+    // A header that is far longer than any trace context would be copied into every start.
+    let sent = incoming.header(trace::TRACEPARENT);
+    let sent = sent.filter(|text| text.len() <= trace::MAX_TRACEPARENT);
+    let traceparent = match hop {
+        Some(hop) => Some(hop.traceparent()),
+        None => sent.map(CompactString::from),
+    };
     let cx = filter::Context {
         config: core.config.get(),
         draining: core.is_draining(),
@@ -90,9 +118,10 @@
         idempotent: false,
     };
     let draft = filter::pass(&cx, draft)?;
-    accept(draft)
-        .map(Arc::new)
-        .ok_or_else(|| Refusal::new(Code::BadJson))
+    let accepted = accept(draft);
+    let mut submission = accepted.ok_or_else(|| Refusal::new(Code::BadJson))?;
+    let inputs = offload::inputs(&core.platform.objects, &mut submission).await?;
+    Ok((Arc::new(submission), inputs))
 }
 
 /// Makes the submission of a draft that has passed the chain.
@@ -101,7 +130,7 @@
     let key = match draft.key {
         Some(key) => key,
         // Nobody can resubmit a request whose key is only known here.
-        None => key::mint(claims::since_epoch(), rand::random()).into(),
+        None => key::mint(clock::since_epoch(), rand::random()).into(),
     };
     Some(Submission {
         minted_ms: minted_ms(&key),
@@ -119,7 +148,7 @@
 /// and its second submission, so it counts as one that tells nothing.
 fn minted_ms(key: &str) -> Option<u64> {
     let minted = key::minted_at(key)?;
-    let latest = claims::since_epoch() + inherit::CLOCK_SKEW;
+    let latest = clock::since_epoch() + inherit::CLOCK_SKEW;
     (minted <= latest).then_some(minted.as_millis() as u64)
 }
 
@@ -135,17 +164,29 @@
     };
     let key = key::scoped(customer, key);
     let ending = core.cancel(key.clone()).await;
-    reply(&key, &ending)
+    match &*ending {
+        // The caller got what it asked for; the code still tells whether anything had run.
+        Ending::Failed(refusal) if is_cancelled(refusal) => Reply::json(StatusCode::OK, refusal),
+        Ending::Complete(_) | Ending::Failed(_) => reply(core, &key, &ending).await,
+    }
+}
+
+fn is_cancelled(refusal: &Refusal) -> bool {
+    matches!(refusal.code, Code::Cancelled | Code::CancelledBefore)
 }
 
 /// The reply that an ending is to its caller.
-fn reply(key: &str, ending: &Ending) -> Reply {
+async fn reply(core: &Core, key: &str, ending: &Ending) -> Reply {
     match ending {
         Ending::Complete(answers) => {
+            let answers = match offload::answers(&core.platform.objects, answers).await {
+                Ok(answers) => answers,
+                Err(refusal) => return Reply::refusal(&refusal),
+            };
             let body = caller::JobAnswer {
                 key: key.split_once('/').map_or(key, |(_, key)| key).into(),
                 state: "complete".into(),
-                answers: answers.clone(),
+                answers,
             };
             Reply::json(StatusCode::OK, &body)
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,11 +1,17 @@
 //! The entry: takes callers and operators over HTTP, owns cells, dispatches.
 
+mod agent_link;
 mod cell;
+mod claiming;
 mod core;
+mod events;
 mod http;
-mod operate;
+mod inward;
+mod offload;
+pub mod operate;
 mod peers;
-mod status;
+mod spans;
+pub mod status;
 
 use std::net;
 use std::sync::Arc;
@@ -59,13 +65,14 @@
     platform: platform::Platform,
     messages: count::Messages,
 ) -> anyhow::Result<Entry> {
-    let door = peers::Door::default();
-    let peers = link::bind(cfg.peer_addr, peers::service(&door, messages.clone())).await?;
+    let door = inward::Door::default();
+    let service = inward::service(&door, cfg.id.clone(), messages.clone());
+    let peers = link::bind(cfg.peer_addr, service).await?;
     let addr = match &cfg.advertise {
         Some(addr) => addr.clone(),
         None => peers.addr().to_compact_string(),
     };
-    let core = Core::open(cfg.clone(), addr, platform, messages);
+    let core = Core::open(cfg.clone(), addr, platform, messages, door.clone());
     door.open(&core);
     let http = http::bind(cfg.http_addr, core.clone()).await?;
     let tasks = core.spawn();
@@ -83,6 +90,11 @@
         self.http.addr()
     }
 
+    /// Where other entries connect.
+    pub fn peer_addr(&self) -> net::SocketAddr {
+        self.peers.addr()
+    }
+
     /// Its id.
     pub fn id(&self) -> &id::EntryId {
         &self.core.cfg.id
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,11 +2,12 @@
 //! built from.
 //!
 //! Read `docs/ARCHITECTURE.md` for the picture. Imports go one way, down this list: the running
-//! parts ([`entry`], [`agent`], [`standin`], [`demo`]), the request [`filter`] chain and the state
+//! parts ([`entry`], [`agent`], [`standin`], [`demo`], [`bench`]), the request [`filter`] chain and the state
 //! [`controller`]s, the [`wire`] interfaces, the pure decisions in [`decide`], and the ground
 //! modules that everything may use.
 
 pub mod agent;
+pub mod bench;
 pub mod controller;
 pub mod decide;
 pub mod demo;
@@ -15,8 +16,10 @@
 pub mod standin;
 pub mod wire;
 
+pub mod backoff;
 pub mod class;
 pub mod cli;
+pub mod clock;
 pub mod code;
 pub mod count;
 pub mod id;
--- a/src/wire/agent.rs
+++ b/src/wire/agent.rs
@@ -10,9 +10,13 @@
 use crate::decide::notice;
 use crate::decide::order;
 use crate::id;
+use crate::task;
 
-/// Silence after which the agent, or an owner towards another entry, sends a heartbeat.
-pub const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+/// Silence after which the agent sends a heartbeat; two fit into [`SILENCE`].
+pub const HEARTBEAT: time::Duration = time::Duration::from_millis(700);
+
+/// How often an agent looks whether something is due.
+pub const TICK: time::Duration = time::Duration::from_millis(100);
 
 /// Silence after which the other side takes the link for dead.
 pub const SILENCE: time::Duration = time::Duration::from_millis(1_600);
@@ -26,6 +30,8 @@
     pub cell: id::Cell,
     /// The owner's epoch.
     pub epoch: id::Epoch,
+    /// The owner's number for this link.
+    pub link: id::Link,
 }
 
 /// A message of the owner.
@@ -37,6 +43,8 @@
     pub epoch: id::Epoch,
     /// The life of the agent that the owner means.
     pub incarnation: id::Incarnation,
+    /// The link that carries the message.
+    pub link: id::Link,
     /// What it asks for.
     pub orders: Vec<order::Order>,
 }
@@ -48,6 +56,10 @@
     pub notices: Vec<notice::Notice>,
     /// Its load when the message left; rides on every message.
     pub load: notice::Load,
+    /// The link that carries the message.
+    pub link: id::Link,
+    /// Messages of the owner that came on this link so far; see [`delivery`](crate::decide::delivery).
+    pub received: u64,
 }
 
 /// The kind under which a message of the owner is counted.
@@ -73,3 +85,30 @@
         count::Kind::Control
     }
 }
+
+/// Bytes that an item takes beside what varies, about.
+const ITEM: usize = 300;
+
+/// Bytes that a task takes in a list of tasks, about.
+const LISTED: usize = 120;
+
+/// About how many bytes an order takes on the wire.
+pub fn weigh_order(order: &order::Order) -> usize {
+    match order {
+        order::Order::Start(start) => ITEM + start.input.get().len(),
+        order::Order::Resolve(ids) => ids.len() * LISTED,
+        _ => ITEM,
+    }
+}
+
+/// About how many bytes a notice takes on the wire.
+pub fn weigh_notice(notice: &notice::Notice) -> usize {
+    match notice {
+        notice::Notice::Answer(answer) => match &answer.outcome {
+            task::Outcome::Done(value) => ITEM + value.get().len(),
+            task::Outcome::Failed(_) => ITEM,
+        },
+        notice::Notice::Welcome(welcome) => ITEM + welcome.tasks.len() * LISTED,
+        _ => ITEM,
+    }
+}
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -6,15 +6,19 @@
 //! of the same moment are grouped without any added delay. A link promises nothing about loss;
 //! both users of it ask again by key after a reconnect.
 
+use std::collections::VecDeque;
 use std::future::Future;
 use std::net;
 use std::sync::Arc;
 use std::time;
 
+use jsonrpsee::core;
 use jsonrpsee::core::client::{ClientT, Subscription, SubscriptionClientT};
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::middleware::rpc::{self, RpcServiceT};
-use jsonrpsee::server::{PendingSubscriptionSink, RpcModule, ServerConfig, ServerHandle};
+use jsonrpsee::server::{
+    PendingSubscriptionSink, PingConfig, RpcModule, ServerConfig, ServerHandle,
+};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use jsonrpsee::SubscriptionMessage;
 use serde::de::DeserializeOwned;
@@ -25,11 +29,27 @@
 /// Most items that one message may carry.
 const MAX_GROUP: usize = 256;
 
+/// Bytes of items after which a message carries no more of them.
+const MAX_GROUP_BYTES: usize = 8 * 1024 * 1024;
+
 /// Largest message, in bytes.
 const MAX_MESSAGE: u32 = 32 * 1024 * 1024;
 
-/// Messages that a client holds for a reader that is behind.
-const MAX_UNREAD: usize = 65_536;
+/// Messages that a client holds for a reader that is behind; a link with more is closed, and its
+/// successor asks by key for what was outstanding.
+pub const MAX_UNREAD: usize = 65_536;
+
+/// Messages that a server holds for a client that doesn't read; its writer waits beyond that.
+const MAX_UNSENT: u32 = 1_024;
+
+/// Most links of a server.
+const MAX_CONNECTIONS: u32 = 4_096;
+
+/// Pause between the pings by which a server finds connections that nobody is behind any more.
+const PING: time::Duration = time::Duration::from_secs(30);
+
+/// Bytes that JSON-RPC and the WebSocket frame add to a message, about.
+const ENVELOPE: usize = 90;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -58,14 +78,30 @@
     }
 }
 
-/// What a server does: how it greets, what it does with messages, how it groups its own.
+/// Counts a message that leaves, with its bytes.
+pub type Sent<Out> = Arc<dyn Fn(&Out, usize) + Send + Sync>;
+
+/// Tells about how many bytes an item takes on the wire.
+pub type Weigh<Item> = fn(&Item) -> usize;
+
+/// Groups the items of one link into one message.
+pub type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
+
+/// Takes the hello of a new link and the way back, and tells how the link groups its items.
+/// Dropping the sender closes the link.
+pub type Greet<Hello, Item, Out> =
+    Arc<dyn Fn(Hello, Sender<Item>) -> Group<Item, Out> + Send + Sync>;
+
+/// What a server does with its links.
 pub struct Service<Hello, Item, In, Out> {
-    /// Takes the hello and the way back. Dropping the sender closes the link.
-    pub greet: Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>,
-    /// Takes one message of the client.
+    /// Takes a new link.
+    pub greet: Greet<Hello, Item, Out>,
+    /// Takes one message of a client.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the server, and counts it.
-    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    /// Counts a message of the server that leaves, with its bytes.
+    pub sent: Sent<Out>,
+    /// Weighs an item of the server.
+    pub weigh: Weigh<Item>,
 }
 
 /// Binds a server of links.
@@ -82,10 +118,12 @@
     let cfg = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE)
         .max_response_body_size(MAX_MESSAGE)
-        .max_connections(4_096)
+        .max_connections(MAX_CONNECTIONS)
+        .set_message_buffer_capacity(MAX_UNSENT)
+        .enable_ws_ping(pings())
         .ws_only()
         .build();
-    let inbox = inbox(service.take);
+    let inbox = inbox(service.take.clone());
     let layers = rpc::RpcServiceBuilder::new().layer_fn(move |inner| Inbox {
         inner,
         deliver: inbox.clone(),
@@ -96,35 +134,85 @@
         .build(addr)
         .await?;
     let addr = server.local_addr()?;
-    let module = module(service.greet, service.group)?;
+    let module = module(service)?;
     let handle = server.start(module);
     Ok(Server { addr, handle })
 }
 
-type Greet<Hello, Item> = Arc<dyn Fn(Hello, Sender<Item>) + Send + Sync>;
-type Group<Item, Out> = Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>;
-
-fn module<Hello, Item, Out>(
-    greet: Greet<Hello, Item>,
+/// Turns what waits into one message on the wire.
+struct Outbox<Item, Out> {
     group: Group<Item, Out>,
+    sent: Sent<Out>,
+    weigh: Weigh<Item>,
+    rx: Receiver<Item>,
+    waiting: VecDeque<Item>,
+}
+
+impl<Item, Out: Serialize> Outbox<Item, Out> {
+    /// Waits for items and takes those that leave as one message; none once the link is let go.
+    ///
+    /// Guards against a group of items, each of a fair size, that makes a message over the limit:
+    /// the link would close, and its users would send the same items again in one group on the
+    /// next.
+    async fn next(&mut self) -> Vec<Item> {
+        if self.waiting.is_empty() {
+            let mut items = Vec::new();
+            self.rx.recv_many(&mut items, MAX_GROUP).await;
+            self.waiting.extend(items);
+        }
+        let mut bytes = 0;
+        let mut count = 0;
+        for item in &self.waiting {
+            bytes += (self.weigh)(item);
+            if count > 0 && bytes > MAX_GROUP_BYTES {
+                break;
+            }
+            count += 1;
+        }
+        self.waiting.drain(..count).collect()
+    }
+
+    /// Groups and encodes items, and counts the message.
+    fn encode(&self, items: Vec<Item>) -> serde_json::Result<Box<value::RawValue>> {
+        let message = (self.group)(items);
+        let raw = value::to_raw_value(&message)?;
+        (self.sent)(&message, raw.get().len() + ENVELOPE);
+        Ok(raw)
+    }
+}
+
+fn module<Hello, Item, In, Out>(
+    service: Service<Hello, Item, In, Out>,
 ) -> anyhow::Result<RpcModule<()>>
 where
     Hello: DeserializeOwned + Send + 'static,
     Item: Send + 'static,
     Out: Serialize + Send + 'static,
 {
+    let Service {
+        greet, sent, weigh, ..
+    } = service;
     let mut module = RpcModule::new(());
     module.register_subscription("open", "up", "close", move |params, pending, _, _| {
         let greet = greet.clone();
-        let group = group.clone();
+        let sent = sent.clone();
         let hello = params.one::<Hello>();
         async move {
             let Ok(hello) = hello else {
-                return;
+                return Err(core::SubscriptionError::from("the hello can't be read"));
             };
             let (tx, rx) = mpsc::unbounded_channel();
-            greet(hello, tx);
-            write_up(pending, rx, group).await;
+            let group = greet(hello, tx);
+            let outbox = Outbox {
+                group,
+                sent,
+                weigh,
+                rx,
+                waiting: VecDeque::new(),
+            };
+            write_up(pending, outbox).await;
+            // Without this the client would go on with a link that nobody serves any more.
+            Err(core::SubscriptionError::from("the link is closed"))
         }
     })?;
     Ok(module)
@@ -132,21 +220,20 @@
 
 async fn write_up<Item, Out: Serialize>(
     pending: PendingSubscriptionSink,
-    mut rx: Receiver<Item>,
-    group: Group<Item, Out>,
+    mut outbox: Outbox<Item, Out>,
 ) {
     let Ok(sink) = pending.accept().await else {
         return;
     };
     loop {
-        let mut items = Vec::new();
-        tokio::select! {
-            n = rx.recv_many(&mut items, MAX_GROUP) => if n == 0 {
-                return;
-            },
+        let items = tokio::select! {
+            items = outbox.next() => items,
             () = sink.closed() => return,
+        };
+        if items.is_empty() {
+            return;
         }
-        let Ok(raw) = value::to_raw_value(&group(items)) else {
+        let Ok(raw) = outbox.encode(items) else {
             return;
         };
         if sink.send(SubscriptionMessage::from(raw)).await.is_err() {
@@ -155,6 +242,16 @@
     }
 }
 
+/// Guards against connections whose other end vanished without a word: the writer of such a link
+/// would wait, and its socket stay open, for ever. The links' own silence limits don't close the
+/// server's end, since only the client's process learns of them.
+fn pings() -> PingConfig {
+    PingConfig::new()
+        .ping_interval(PING)
+        .inactive_limit(2 * PING)
+        .max_failures(1)
+}
+
 type Deliver = Arc<dyn Fn(&str) + Send + Sync>;
 
 fn inbox<In: DeserializeOwned + 'static>(take: Arc<dyn Fn(In) + Send + Sync>) -> Deliver {
@@ -205,8 +302,12 @@
 pub struct Peer<Item, In, Out> {
     /// Takes one message of the server.
     pub take: Arc<dyn Fn(In) + Send + Sync>,
-    /// Groups items into one message of the client, and counts it.
-    pub group: Arc<dyn Fn(Vec<Item>) -> Out + Send + Sync>,
+    /// Groups items into one message of the client.
+    pub group: Group<Item, Out>,
+    /// Counts a message of the client that leaves, with its bytes.
+    pub sent: Sent<Out>,
+    /// Weighs an item of the client.
+    pub weigh: Weigh<Item>,
     /// Runs once when the link is gone.
     pub closed: Box<dyn FnOnce() + Send>,
 }
@@ -238,38 +339,24 @@
         .await?;
     let mut params = ArrayParams::new();
     params.insert(hello)?;
+    let outbox = Outbox {
+        group: peer.group,
+        sent: peer.sent,
+        weigh: peer.weigh,
+        rx,
+        waiting: VecDeque::new(),
+    };
     let subscription: Subscription<In> = client.subscribe("open", params, "close").await?;
     tokio::spawn(async move {
         tokio::select! {
             () = read(subscription, peer.take) => {}
-            () = write_down(client, rx, peer.group) => {}
+            () = write_down(client, outbox) => {}
         }
         (peer.closed)();
     });
     Ok(())
 }
 
-/// What a plain connection attempt tells of a process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reach {
-    /// It listens.
-    Open,
-    /// Its machine answers that nothing listens there.
-    Refused,
-    /// Nothing answers.
-    Silent,
-}
-
-/// Tries a plain connection, to tell a dead process from a silent network.
-pub async fn probe(addr: &str) -> Reach {
-    let connecting = tokio::net::TcpStream::connect(addr);
-    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => Reach::Open,
-        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Reach::Refused,
-        Ok(Err(_)) | Err(_) => Reach::Silent,
-    }
-}
-
 async fn read<In: DeserializeOwned>(
     mut subscription: Subscription<In>,
     take: Arc<dyn Fn(In) + Send + Sync>,
@@ -282,18 +369,14 @@
     }
 }
 
-async fn write_down<Item, Out: Serialize>(
-    client: WsClient,
-    mut rx: Receiver<Item>,
-    group: Group<Item, Out>,
-) {
+async fn write_down<Item, Out: Serialize>(client: WsClient, mut outbox: Outbox<Item, Out>) {
     loop {
-        let mut items = Vec::new();
-        if rx.recv_many(&mut items, MAX_GROUP).await == 0 {
+        let items = outbox.next().await;
+        if items.is_empty() {
             return;
         }
         let mut params = ArrayParams::new();
-        let inserted = params.insert(group(items));
+        let inserted = outbox.encode(items).and_then(|raw| params.insert(raw));
         if inserted.is_err() || client.notification("down", params).await.is_err() {
             return;
         }
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -11,8 +11,23 @@
 /// The row of the configuration; its value is a [`class::Versioned`](crate::class::Versioned).
 pub const CONFIG: &str = "config";
 
+/// Prefix of the few small rows that every entry watches with one scan.
+pub const HEAD: &str = "head/";
+
+/// The row that tells the newest version of the configuration; its value is a [`ConfigHead`].
+///
+/// It is written by the same transaction as [`CONFIG`], so that watching costs no read of the
+/// whole document.
+pub const CONFIG_VERSION: &str = "head/config";
+
 /// Prefix of the cells' rows.
-pub const CELLS: &str = "cell/";
+pub const CELLS: &str = "head/cell/";
+
+/// The row that every join and leave of a cell's agents changes, so that an owner reads the
+/// agents' rows only where something changed.
+pub fn members(cell: id::Cell) -> CompactString {
+    format_compact!("head/members/{cell:05}")
+}
 
 /// The row that says who owns a cell.
 pub fn cell(cell: id::Cell) -> CompactString {
@@ -24,6 +39,14 @@
     format_compact!("beat/{cell:05}")
 }
 
+/// Prefix of the rows of the entries that are alive.
+pub const ENTRIES: &str = "entry/";
+
+/// The row that an entry changes now and then, so that cells spread over those that are alive.
+pub fn entry(id: &str) -> CompactString {
+    format_compact!("{ENTRIES}{id}")
+}
+
 /// Prefix of the rows of a cell's agents.
 pub fn agents(cell: id::Cell) -> CompactString {
     format_compact!("agent/{cell:05}/")
@@ -44,6 +67,16 @@
     format_compact!("claim/{cell:05}/{epoch:012}/{group:012}")
 }
 
+/// The newest version of the configuration, and whose changes the last ones were.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigHead {
+    /// The version.
+    pub version: id::Version,
+    /// The last accepted changes: the version of each and the number that its operator drew, so
+    /// that a change whose answer was lost is found also under later ones.
+    pub changes: Vec<(id::Version, u64)>,
+}
+
 /// Who owns a cell.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Owner {
--- a/tests/model/moves.rs
+++ b/tests/model/moves.rs
@@ -197,6 +197,7 @@
             owning.pending.change(|pending| pending.push(claim));
         }
         Action::Reply(waiter, ending) => reply(w, e, waiter, &ending),
+        Action::Record(_) => {}
     }
 }
 
