--- a/src/bench/messages.rs
+++ b/src/bench/messages.rs
@@ -121,7 +121,7 @@
             (number, down)
         }),
         sent: Arc::new(|_, _| {}),
-        weigh: |orders: &Vec<order::Order>| orders.iter().map(agent::weigh_order).sum(),
+        weigh: |orders| orders.iter().map(agent::weigh_order).sum(),
         closed: Box::new(|| {}),
     };
     link::connect(&addr, number, rx, peer).await?;
