--- a/examples/claims_and_fencing.rs
+++ b/examples/claims_and_fencing.rs
@@ -29,7 +29,10 @@
     for agent in &mut agents {
         agent.join(1);
     }
-    assert_eq!(agents[0].start(now, 1, &task("canoas/k1", 0)), Verdict::Run);
+    assert_eq!(
+        agents[0].start(now, 1, &task("canoas/k1", 0), 1),
+        Verdict::Run
+    );
 
     // The owner falls silent; its successor raises the epoch in the table and fences the agents.
     for agent in &mut agents {
@@ -37,7 +40,7 @@
     }
 
     // The first owner wakes and sends its next start, and a hello. Nothing of it takes effect.
-    let late = agents[1].start(now, 1, &task("canoas/k1", 1));
+    let late = agents[1].start(now, 1, &task("canoas/k1", 1), 1);
     assert_eq!(late, Verdict::Refuse(Code::StaleEpoch));
     assert_eq!(agents[1].fence(1), Err(2));
 
@@ -63,10 +66,13 @@
     };
     assert_eq!(tasks[&0], (lives[0].clone(), Standing::Started));
     assert!(rest_startable);
-    assert_eq!(agents[1].start(now, 2, &task("canoas/k1", 1)), Verdict::Run);
+    assert_eq!(
+        agents[1].start(now, 2, &task("canoas/k1", 1), 1),
+        Verdict::Run
+    );
     // The same start twice runs once.
     assert_eq!(
-        agents[1].start(now, 2, &task("canoas/k1", 1)),
+        agents[1].start(now, 2, &task("canoas/k1", 1), 1),
         Verdict::Duplicate
     );
     println!("the late start was refused, the resubmission found its first task");
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -115,7 +115,9 @@
 
     /// Admits the agent to its cell; see [`Ledger::join`].
     pub fn join(&self, epoch: id::Epoch) {
-        self.lock().ledger.join(epoch);
+        let mut inner = self.lock();
+        inner.ledger.join(epoch);
+        inner.tell(Notice::Heartbeat);
     }
 
     /// Takes the hello of an owner: raises the fence, reports, and speaks to this owner from now.
@@ -190,8 +192,8 @@
                 }));
             } else {
                 inner.waiting.retain(|waiting| waiting.start.id != id);
-                inner.ledger.unstart(now, &id);
-                inner.tell(Notice::Refused(id, code::Code::Burned));
+                let attempt = inner.ledger.unstart(now, &id);
+                inner.tell(Notice::Refused(attempt, code::Code::Burned));
             }
         }
         self.changed.notify_waiters();
@@ -266,8 +268,8 @@
             task::Outcome::Done(_) => false,
         };
         if let (true, task::Outcome::Failed(code)) = (not_run, &outcome) {
-            inner.ledger.unstart(now, id);
-            inner.tell(Notice::Refused(id.clone(), *code));
+            let attempt = inner.ledger.unstart(now, id);
+            inner.tell(Notice::Refused(attempt, *code));
         } else {
             let ran_us = ran.as_micros() as u64;
             inner.ledger.finish(now, id, outcome.clone(), ran_us);
@@ -414,42 +416,49 @@
 
     fn accept(&mut self, now: time::Instant, epoch: id::Epoch, start: order::Start) {
         if self.draining || self.slots(now) == 0 {
-            if self.ledger.withdraw(now, &start.id) {
-                self.tell(Notice::Refused(start.id, code::Code::NotJoined));
+            let mark = (epoch, start.attempt);
+            if self.ledger.withdraw(now, &start.id, mark) {
+                self.tell(Notice::Refused(start.attempt(), code::Code::NotJoined));
             }
             return;
         }
-        match self.ledger.start(now, epoch, &start.id) {
+        match self.ledger.start(now, epoch, &start.id, start.attempt) {
             ledger::Verdict::Run => self.waiting.push_back(Waiting { start, since: now }),
             ledger::Verdict::Duplicate => {}
-            ledger::Verdict::Refuse(code) => self.tell(Notice::Refused(start.id, code)),
+            ledger::Verdict::Refuse(code) => {
+                self.tell(Notice::Refused(start.attempt(), code));
+            }
         }
     }
 
     /// Gives back what waits here and can't be run here any more.
     fn give_back(&mut self, now: time::Instant) {
         for Waiting { start, .. } in std::mem::take(&mut self.waiting) {
-            self.ledger.unstart(now, &start.id);
-            self.tell(Notice::Refused(start.id, code::Code::NotJoined));
+            let attempt = self.ledger.unstart(now, &start.id);
+            self.tell(Notice::Refused(attempt, code::Code::NotJoined));
         }
     }
 
-    fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[task::Id]) {
-        for (id, standing) in self.ledger.resolve(now, epoch, ids) {
-            if let Some((outcome, ran_us)) = self.ledger.answer(&id) {
+    fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[order::Attempt]) {
+        for (attempt, standing) in self.ledger.resolve(now, epoch, ids) {
+            if let Some((outcome, ran_us)) = self.ledger.answer(&attempt.id) {
                 self.tell(Notice::Answer(notice::Answer {
-                    id,
+                    id: attempt.id,
                     outcome,
                     ran_us,
                 }));
             } else {
-                self.tell(Notice::Standing(id, standing));
+                self.tell(Notice::Standing(attempt, standing));
             }
         }
     }
 
     /// Slots of the backend server; none once it has left, silently or not.
     fn slots(&self, now: time::Instant) -> u32 {
+        // Before it has joined it may start nothing; to offer slots would only draw starts.
+        if !self.ledger.is_joined() {
+            return 0;
+        }
         match &self.backend {
             Some(backend) if backend.announcement.leaving => 0,
             Some(backend) if now.saturating_duration_since(backend.heard) > BACKEND_SILENCE => 0,
--- a/src/bench/decisions.rs
+++ b/src/bench/decisions.rs
@@ -10,7 +10,7 @@
 use crate::bench::slope::Slope;
 use crate::bench::Config;
 use crate::class;
-use crate::decide::action::Action;
+use crate::decide::action::{self, Action};
 use crate::decide::ledger;
 use crate::decide::notice;
 use crate::decide::order::Order;
@@ -22,6 +22,12 @@
 /// Run time of every task.
 const RUN: time::Duration = time::Duration::from_millis(100);
 
+/// The wall clock of the owner and of all keys, since the Unix epoch.
+const WALL: time::Duration = time::Duration::from_secs(1_700_000_000);
+
+/// Submissions without a start after which the owner plainly takes no work any more.
+const MAX_IDLE: u64 = 100_000;
+
 /// How often the owner's tick comes, as in a running entry.
 const TICK: time::Duration = time::Duration::from_millis(25);
 
@@ -106,7 +112,7 @@
     now: time::Instant,
     ticked: time::Instant,
     claimed: time::Instant,
-    claims: Vec<id::JobKey>,
+    claims: Vec<action::Claim>,
     running: VecDeque<(time::Instant, id::AgentId, task::Id)>,
     jobs: u64,
     spent: time::Duration,
@@ -115,9 +121,8 @@
 impl World {
     fn open(size: Size) -> World {
         let now = time::Instant::now();
-        let wall = time::Duration::from_secs(1_700_000_000);
         let config = Arc::new(configuration());
-        let mut owner = owner::Owner::open(1, owner::Policy::default(), config, now, wall);
+        let mut owner = owner::Owner::open(1, owner::Policy::default(), config, now, WALL);
         owner.members(now, Vec::new(), &[]);
         owner.claims(now, Vec::new());
         for number in 0..size.agents {
@@ -141,6 +146,9 @@
         let slots = self.size.agents * self.size.slots as usize;
         while self.running.len() < slots || self.owner.queue().len() < self.size.waiting {
             self.submit();
+            // Guards against a warm-up without end where jobs are refused or wait for claims.
+            let stuck = self.running.is_empty() && self.jobs > MAX_IDLE;
+            assert!(!stuck, "the owner starts nothing");
         }
         for _ in 0..2_000 {
             self.step();
@@ -205,7 +213,7 @@
                 Action::Order(agent, Order::Start(start)) => {
                     self.running.push_back((self.now + RUN, agent, start.id));
                 }
-                Action::Claim(claim) => self.claims.push(claim.key),
+                Action::Claim(claim) => self.claims.push(claim),
                 _ => {}
             }
         }
@@ -265,7 +273,7 @@
     submission::Submission {
         key: format_compact!("{customer}/0190a5b3-7c1d-7e2f-8a3b-{number:012x}"),
         digest: number,
-        minted_ms: Some(1_700_000_100_000),
+        minted_ms: Some(WALL.as_millis() as u64),
         idempotent: true,
         job: submission::Job {
             customer,
--- a/src/bench/memory.rs
+++ b/src/bench/memory.rs
@@ -152,7 +152,7 @@
             job: format_compact!("team-07/0190a5b3-7c1d-7e2f-8a3b-{:012x}", number / 3),
             index: (number % 3) as u32,
         };
-        ledger.start(now, 1, &id);
+        ledger.start(now, 1, &id, 1);
         ledger.finish(now, &id, task::Outcome::Done(answer()), 100_000);
         if number % 3 == 2 {
             ledger.acknowledge(1, &id.job);
--- a/src/bench/messages.rs
+++ b/src/bench/messages.rs
@@ -143,6 +143,7 @@
             job: format_compact!("team-07/0190a5b3-7c1d-7e2f-8a3b-{message:012x}"),
             index: index as u32,
         },
+        attempt: 1,
         customer: "team-07".into(),
         deadline_ms: 8_000,
         needs: task::Needs::default(),
--- a/src/controller/claims.rs
+++ b/src/controller/claims.rs
@@ -6,6 +6,7 @@
 //! writes claims needs no beats of its own.
 
 use std::collections::VecDeque;
+use std::future::Future;
 use std::sync::Arc;
 use std::time;
 
@@ -40,7 +41,7 @@
 /// What the writer reports.
 pub struct Events {
     /// These claims are in the table, by an operation that began at the time given.
-    pub written: Box<dyn Fn(&[id::JobKey], time::Instant) + Send + Sync>,
+    pub written: Box<dyn Fn(&[action::Claim], time::Instant) + Send + Sync>,
     /// These claims, which starts wait for, can't be written now.
     pub refused: Box<dyn Fn(&[id::JobKey], code::Code) + Send + Sync>,
     /// The cell has another owner.
@@ -104,7 +105,9 @@
 /// Writes one group until it is in the table. Tells whether the cell is still owned.
 ///
 /// A write whose answer was lost is simply repeated: the row's key and value are the same and the
-/// condition is on the ownership, so a second effect changes nothing.
+/// condition is on the ownership, so a second effect changes nothing. Once the table is known to
+/// be down, claims that starts would wait for are refused as they come; the others join the next
+/// group.
 async fn write(
     scope: &Scope,
     key: &compact_str::CompactString,
@@ -116,40 +119,55 @@
     let failing_since = time::Instant::now();
     let mut pause = MIN_PAUSE;
     let tx = transaction(scope, key, old, group);
+    let mut late = Vec::new();
+    let mut down = false;
     loop {
         let begun = time::Instant::now();
-        match (scope.table.commit)(tx.clone()).await {
+        let commit = (scope.table.commit)(tx.clone());
+        match meanwhile(commit, down, rx, &mut late, events).await {
             Ok(Commit::Done(_)) => {
-                let keys: Vec<_> = group.drain(..).map(|claim| claim.key).collect();
-                (events.written)(&keys, begun);
+                (events.written)(&std::mem::replace(group, late), begun);
                 return true;
             }
             Ok(Commit::Conflict(_)) => return false,
             Err(_) => {}
         }
-        if failing_since.elapsed() >= GIVE_UP {
-            refuse_waiting(group, rx, events);
+        if !down && failing_since.elapsed() >= GIVE_UP {
+            down = true;
+            refuse(group, events);
         }
-        tokio::time::sleep(pause.mul_f64(0.5 + 0.5 * rand::random::<f64>())).await;
+        let jitter = 0.5 + 0.5 * rand::random::<f64>();
+        let sleep = tokio::time::sleep(pause.mul_f64(jitter));
+        meanwhile(sleep, down, rx, &mut late, events).await;
         pause = (pause * 2).min(MAX_PAUSE);
     }
 }
 
-/// Tells those whose starts wait for a claim that it won't come, and keeps the others waiting.
-fn refuse_waiting(
-    group: &[action::Claim],
+/// Awaits something; takes in claims at the same time where the table is known to be down.
+async fn meanwhile<T>(
+    awaited: impl Future<Output = T>,
+    down: bool,
     rx: &mut mpsc::UnboundedReceiver<action::Claim>,
+    late: &mut Vec<action::Claim>,
     events: &Events,
-) {
-    let mut late = Vec::new();
-    while let Ok(claim) = rx.try_recv() {
-        late.push(claim);
+) -> T {
+    tokio::pin!(awaited);
+    loop {
+        tokio::select! {
+            output = &mut awaited => return output,
+            claim = rx.recv(), if down => match claim {
+                Some(claim) if claim.ahead => refuse(&[claim], events),
+                Some(claim) => late.push(claim),
+                None => return awaited.await,
+            },
+        }
     }
-    let all = group.iter().chain(&late);
-    let keys: Vec<_> = all
-        .filter(|claim| claim.ahead)
-        .map(|claim| claim.key.clone())
-        .collect();
+}
+
+/// Tells those whose starts wait for a claim that it won't come.
+fn refuse(claims: &[action::Claim], events: &Events) {
+    let ahead = claims.iter().filter(|claim| claim.ahead);
+    let keys: Vec<_> = ahead.map(|claim| claim.key.clone()).collect();
     (events.refused)(&keys, code::Code::StoreDown);
 }
 
@@ -160,13 +178,7 @@
     group: &[action::Claim],
 ) -> Transaction {
     let at_ms = clock::since_epoch().as_millis() as u64;
-    let claimed = |claim: &action::Claim| inherit::Claimed {
-        key: claim.key.clone(),
-        digest: claim.digest,
-        tasks: claim.tasks,
-        at_ms,
-    };
-    let claims: Vec<_> = group.iter().map(claimed).collect();
+    let claims: Vec<_> = group.iter().map(inherit::Claimed::of).collect();
     let mut writes = vec![Write {
         key: key.clone(),
         value: serde_json::to_string(&claims).ok(),
--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -120,7 +120,10 @@
 
     /// Forgets that a cell was owned until the next look finds it again.
     pub fn forget(&self, cell: id::Cell) {
-        self.change(cell, |state| state.owned = None);
+        self.change(cell, |state| {
+            state.owned = None;
+            state.served = None;
+        });
     }
 
     /// Hands all owned cells over: others find them without an owner. Takes none from now on.
@@ -143,9 +146,11 @@
                 epoch,
             };
             let value = serde_json::to_string(&vacant).unwrap_or_default();
-            let _ =
-                (self.table.commit)(Transaction::put_if(&rows::cell(cell), revision, value)).await;
-            self.change(cell, |state| state.owned = None);
+            let tx = Transaction::put_if(&rows::cell(cell), revision, value);
+            // Where the write failed the cell is still owned, or a later look finds it vacant.
+            if (self.table.commit)(tx).await.is_ok() {
+                self.change(cell, |state| state.owned = None);
+            }
         }
     }
 
@@ -311,6 +316,14 @@
         };
         let mine = owner.entry == self.candidate.entry;
         if mine && owner.incarnation == self.candidate.incarnation {
+            // An owner that was let go must not come back under its epoch: its starts that are
+            // still on their way would pass the fence after the agents' reports.
+            let was_let_go = self.change(cell, |state| {
+                state.owned.is_none() && state.served == Some(owner.epoch)
+            });
+            if was_let_go {
+                return self.take(cell, revision, owner.epoch).await;
+            }
             self.own(cell, owner.epoch, revision);
             return false;
         }
@@ -388,6 +401,7 @@
         let news = self.change(cell, |state| {
             let news = state.owned != Some((epoch, revision));
             state.owned = Some((epoch, revision));
+            state.served = Some(epoch);
             state.suspicion = None;
             state.beat_seen = None;
             state.vacant = None;
--- a/src/controller/standing.rs
+++ b/src/controller/standing.rs
@@ -33,6 +33,8 @@
     pub beat_seen: Option<(Revision, time::Instant)>,
     /// Whether this entry takes it no more.
     pub resigned: bool,
+    /// The last epoch under which this entry owned it.
+    pub served: Option<id::Epoch>,
     /// Since when the cell has been seen without an owner.
     pub vacant: Option<time::Instant>,
 }
--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decide::action;
 use crate::decide::ledger;
 use crate::id;
 use crate::task;
@@ -33,10 +34,23 @@
     pub digest: u64,
     /// How many tasks it has.
     pub tasks: u32,
-    /// When it was made, in milliseconds since the Unix epoch, by the claimant's clock.
+    /// When the submission was accepted, in milliseconds since the Unix epoch, by the claimant's
+    /// clock; nothing of it started earlier.
     pub at_ms: u64,
 }
 
+impl Claimed {
+    /// The row's part that a claim becomes.
+    pub fn of(claim: &action::Claim) -> Claimed {
+        Claimed {
+            key: claim.key.clone(),
+            digest: claim.digest,
+            tasks: claim.tasks,
+            at_ms: claim.at_ms,
+        }
+    }
+}
+
 /// A life of an agent as the membership rows tell.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Life {
@@ -58,6 +72,9 @@
     pub claimed: bool,
 }
 
+/// Tasks of one job, with the life that remembers each and how it stands there.
+pub type Remembered = BTreeMap<id::TaskIndex, (Life, ledger::Standing)>;
+
 /// What was found out about a submission's key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Found {
@@ -65,8 +82,8 @@
     Fresh,
     /// An earlier owner accepted it: where its tasks are, and whether the others may be started.
     Known {
-        /// Tasks that some agent remembered in a life of its.
-        tasks: BTreeMap<id::TaskIndex, (Life, ledger::Standing)>,
+        /// Tasks that some agent remembers.
+        tasks: Remembered,
         /// True where tasks that no agent remembers provably never started.
         rest_startable: bool,
     },
@@ -84,7 +101,7 @@
     awaited: Option<BTreeSet<Life>>,
     lost: Vec<(time::Duration, bool)>,
     claims: Option<HashMap<id::JobKey, Claimed>>,
-    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (Life, ledger::Standing)>>,
+    seen: HashMap<id::JobKey, Remembered>,
 }
 
 impl Inheritance {
@@ -144,6 +161,12 @@
         self.claims.is_some() && (awaited.is_empty() || now >= self.give_up)
     }
 
+    /// Tells whether an earlier owner's claim or an agent's report names a key.
+    pub fn knows(&self, key: &id::JobKey) -> bool {
+        let claimed = self.claims.as_ref();
+        claimed.is_some_and(|claims| claims.contains_key(key)) || self.seen.contains_key(key)
+    }
+
     /// Members that have not reported.
     pub fn unaccounted(&self) -> usize {
         self.awaited.as_ref().map_or(0, BTreeSet::len)
@@ -170,20 +193,22 @@
         }
     }
 
-    /// Tells whether a key without a claim may have been started by the owner before.
+    /// Tells whether a key without a claim may have been started by an owner before.
     ///
-    /// Only keys that tell their age are started ahead of their claims, and only by an owner that
-    /// saw itself in the table within [`TABLE_SIGHT`]. So a key that was minted long enough after
-    /// the takeover can't have been, and neither can one whose starts every agent would remember.
+    /// An owner starts ahead of the claim only keys that were minted at most [`TABLE_SIGHT`] after
+    /// its last sight of the table, which came before this takeover, and before the end of every
+    /// life that it used. So only a key that is not younger than a life which can't report may
+    /// have run on it. Nothing here depends on the caller's clock: the key is compared with the
+    /// clocks of entries and agents alone, on both sides.
     fn may_be_unwritten(&self, minted: Option<time::Duration>) -> bool {
         let Some(minted) = minted else {
             return false;
         };
-        let safe = self.taken_at + TABLE_SIGHT + 2 * CLOCK_SKEW;
-        let window = TABLE_SIGHT + 2 * CLOCK_SKEW;
-        let recent = |(at, claimed): &(_, bool)| !claimed && *at + window > self.taken_at;
-        let recently_lost = self.lost.iter().any(recent);
-        minted < safe && (self.unaccounted() > 0 || recently_lost)
+        let unreachable = (self.unaccounted() > 0).then_some(self.taken_at);
+        let unclaimed = self.lost.iter().filter(|(_, claimed)| !claimed);
+        let ends = unclaimed.map(|(at, _)| *at).chain(unreachable);
+        let slack = TABLE_SIGHT + 2 * CLOCK_SKEW;
+        ends.into_iter().any(|end| minted < end + slack)
     }
 
     /// Tells whether a task of a claim made at that time may have run on a life that is lost.
--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -22,6 +22,8 @@
     Sent {
         /// The agent.
         agent: id::AgentId,
+        /// The number of the start.
+        attempt: u32,
         /// When it was sent.
         at: time::Instant,
         /// When it had begun to wait for a slot.
@@ -66,6 +68,8 @@
     pub left: usize,
     /// Its claim.
     pub claim: Claim,
+    /// Starts that were sent in this epoch.
+    pub attempts: u32,
     /// Agents that were sent any of its tasks.
     pub agents: BTreeSet<id::AgentId>,
     /// Where its time went so far.
@@ -90,6 +94,7 @@
             tasks: vec![Progress::Waiting; tasks],
             left: tasks,
             claim,
+            attempts: 0,
             agents: BTreeSet::new(),
             moments: timing::Moments::open(now),
             ending: None,
@@ -112,6 +117,19 @@
         self.tasks.iter().filter_map(holder).collect()
     }
 
+    /// Bytes of the inputs and of the ending that the job keeps.
+    pub fn bytes(&self) -> usize {
+        let inputs = self.submission.job.tasks.iter();
+        let inputs: usize = inputs.map(|task| task.input.get().len()).sum();
+        let answers = match self.ending.as_deref() {
+            Some(submission::Ending::Complete(answers)) => {
+                answers.iter().map(|answer| answer.get().len()).sum()
+            }
+            Some(submission::Ending::Failed(_)) | None => 0,
+        };
+        inputs + answers
+    }
+
     /// The complete answer, once every task has one.
     pub fn complete(&self) -> Option<submission::Ending> {
         if self.left > 0 {
--- a/src/decide/owner/agents.rs
+++ b/src/decide/owner/agents.rs
@@ -107,11 +107,14 @@
         &mut self,
         now: time::Instant,
         agent: &id::AgentId,
-        id: &task::Id,
+        asked: &order::Attempt,
         standing: ledger::Standing,
     ) {
+        let id = &asked.id;
         match standing {
-            ledger::Standing::Withdrawn => self.requeue(now, agent, id, code::Code::Burned),
+            ledger::Standing::Withdrawn => {
+                self.requeue(now, agent, asked, code::Code::Burned);
+            }
             // The answer follows, or came already.
             ledger::Standing::Started | ledger::Standing::Done => {}
             ledger::Standing::Gone => {
@@ -140,7 +143,11 @@
         if tasks.is_empty() {
             return;
         }
-        let ids = tasks.iter().cloned().collect();
+        let attempt = |id: &task::Id| order::Attempt {
+            id: id.clone(),
+            attempt: self.jobs.get(&id.job).map_or(0, |job| job.attempts),
+        };
+        let ids = tasks.iter().map(attempt).collect();
         self.actions
             .push(Action::Order(id.clone(), order::Order::Resolve(ids)));
     }
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -21,7 +21,7 @@
         waiter: action::Waiter,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(&submission.key) else {
-            return false;
+            return self.attach_gone(submission, waiter);
         };
         if job.submission.digest != submission.digest {
             self.refuse(waiter, refusal::Refusal::new(code::Code::KeyReused));
@@ -34,6 +34,41 @@
         true
     }
 
+    /// Answers for a job that ended and whose ending is no longer kept.
+    ///
+    /// Guards against a second run: the key of a forgotten job would look fresh to this owner,
+    /// which has read the claims of earlier owners only.
+    fn attach_gone(&mut self, submission: &submission::Submission, waiter: action::Waiter) -> bool {
+        let Some(digest) = self.gone.get(&submission.key) else {
+            return false;
+        };
+        let code = if *digest == submission.digest {
+            code::Code::AnswerGone
+        } else {
+            code::Code::KeyReused
+        };
+        self.refuse(waiter, refusal::Refusal::new(code));
+        true
+    }
+
+    /// Withdraws a job that this owner hasn't taken up: an earlier owner's, or none at all.
+    pub(super) fn cancel_unknown(&mut self, key: &id::JobKey, waiter: action::Waiter) {
+        let code = if self.gone.contains_key(key) {
+            code::Code::AnswerGone
+        } else if !self.ready || self.inheritance.knows(key) {
+            // "Not found" would say that nothing of it ran.
+            for agent in self.fleet.agents().keys() {
+                let order = order::Order::Cancel(key.clone());
+                self.actions.push(Action::Order(agent.clone(), order));
+            }
+            code::Code::MayHaveRun
+        } else {
+            // A successor knows the jobs of the owner before only once they are submitted again.
+            code::Code::JobUnknown
+        };
+        self.refuse(waiter, refusal::Refusal::new(code));
+    }
+
     pub(super) fn refuse(&mut self, waiter: action::Waiter, refusal: refusal::Refusal) {
         let ending = Arc::new(submission::Ending::Failed(refusal));
         self.actions.push(Action::Reply(waiter, ending));
@@ -51,6 +86,9 @@
         if refusal.code == code::Code::Expired {
             refusal = refusal.retry_after(self.wait_of(&job.submission.job.customer));
         }
+        if refusal.code == code::Code::StoreDown {
+            refusal = refusal.retry_after(owner::STORE_RETRY);
+        }
         let withdrawn = self.queue.remove(key);
         let job = self.jobs.get_mut(key).expect("the job was there");
         for task in &withdrawn {
@@ -65,7 +103,9 @@
         self.end(now, key, submission::Ending::Failed(refusal));
         if forget {
             // Nothing ran, so a retry under the same key starts from nothing.
-            self.jobs.remove(key);
+            if let Some(job) = self.jobs.remove(key) {
+                self.kept_bytes -= job.bytes();
+            }
         }
     }
 
@@ -85,6 +125,7 @@
             }
         }
         self.deadlines.remove(&(job.deadline, key.clone()));
+        self.kept_bytes += job.bytes();
         self.ended.push_back((now, key.clone()));
         self.unacknowledged.push_back((now, key.clone()));
     }
@@ -113,18 +154,28 @@
         }
     }
 
+    /// Drops endings that are old or too many, and later their keys too.
     pub(super) fn forget(&mut self, now: time::Instant) {
+        let is_old = |at: time::Instant| now.saturating_duration_since(at) >= owner::KEEP;
         while let Some((at, key)) = self.ended.front() {
-            let old = now.saturating_duration_since(*at) >= owner::KEEP
-                || self.ended.len() > owner::MAX_KEPT;
-            if !old {
-                return;
+            let full =
+                self.ended.len() > owner::MAX_KEPT || self.kept_bytes > owner::MAX_KEPT_BYTES;
+            if !is_old(*at) && !full {
+                break;
             }
-            if self.jobs.get(key).is_some_and(|job| job.ending.is_some()) {
-                self.jobs.remove(key);
+            let has_ended = self.jobs.get(key).is_some_and(|job| job.ending.is_some());
+            if let Some(job) = has_ended.then(|| self.jobs.remove(key)).flatten() {
+                self.kept_bytes -= job.bytes();
+                self.gone.insert(key.clone(), job.submission.digest);
+                self.gone_order.push_back((*at, key.clone()));
             }
             self.ended.pop_front();
         }
+        while self.gone_order.front().is_some_and(|(at, _)| is_old(*at)) {
+            if let Some((_, key)) = self.gone_order.pop_front() {
+                self.gone.remove(&key);
+            }
+        }
     }
 }
 
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -37,11 +37,17 @@
 pub const ACKNOWLEDGE_AFTER: time::Duration = time::Duration::from_secs(10);
 
 /// How long an ending is kept for resubmissions.
-pub const KEEP: time::Duration = ledger::RETENTION;
+pub const KEEP: time::Duration = ledger::RESUBMIT;
 
-/// Most ended jobs that are kept.
+/// Most ended jobs whose endings are kept; of older ones only the key is, until [`KEEP`] is over.
 pub const MAX_KEPT: usize = 20_000;
 
+/// Most bytes of the inputs and answers of ended jobs that are kept.
+pub const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
+/// When to come back where the table can't be reached.
+const STORE_RETRY: time::Duration = time::Duration::from_secs(1);
+
 /// What the operators and the command line set for an owner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Policy {
@@ -54,16 +60,22 @@
 }
 
 /// The owner of one cell in one epoch.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Owner {
     epoch: id::Epoch,
     policy: Policy,
+    /// When the owner was opened, by both clocks.
+    opened: (time::Instant, time::Duration),
     inheritance: inherit::Inheritance,
     ready: bool,
     parked: Vec<(Arc<submission::Submission>, action::Waiter)>,
     jobs: HashMap<id::JobKey, job::Job>,
     deadlines: BTreeSet<(time::Instant, id::JobKey)>,
     ended: VecDeque<(time::Instant, id::JobKey)>,
+    kept_bytes: usize,
+    /// Digests of ended jobs whose endings are no longer kept.
+    gone: HashMap<id::JobKey, u64>,
+    gone_order: VecDeque<(time::Instant, id::JobKey)>,
     unacknowledged: VecDeque<(time::Instant, id::JobKey)>,
     outstanding: HashMap<id::AgentId, BTreeSet<task::Id>>,
     queue: queue::Queue,
@@ -89,12 +101,16 @@
         Owner {
             epoch,
             policy,
+            opened: (now, wall),
             inheritance: inherit::Inheritance::open(now, wall),
             ready: false,
             parked: Vec::new(),
             jobs: HashMap::new(),
             deadlines: BTreeSet::new(),
             ended: VecDeque::new(),
+            kept_bytes: 0,
+            gone: HashMap::new(),
+            gone_order: VecDeque::new(),
             unacknowledged: VecDeque::new(),
             outstanding: HashMap::new(),
             queue: queue::Queue::open(policy.queue, now),
@@ -109,6 +125,13 @@
         }
     }
 
+    /// The wall clock at `at`, reckoned from the owner's opening so that a step of the clock, or a
+    /// pause that the monotonic clock doesn't count, never makes it later than it is.
+    fn wall(&self, at: time::Instant) -> time::Duration {
+        let (opened, wall) = self.opened;
+        wall + at.saturating_duration_since(opened)
+    }
+
     /// The epoch.
     pub fn epoch(&self) -> id::Epoch {
         self.epoch
@@ -207,8 +230,7 @@
     /// Withdraws a job; the waiter is told how the job ended.
     pub fn cancel(&mut self, now: time::Instant, key: &id::JobKey, waiter: action::Waiter) {
         let Some(job) = self.jobs.get_mut(key) else {
-            // A successor knows the jobs of the owner before only once they are submitted again.
-            self.refuse(waiter, refusal::Refusal::new(code::Code::JobUnknown));
+            self.cancel_unknown(key, waiter);
             return;
         };
         if let Some(ending) = &job.ending {
@@ -221,11 +243,15 @@
     }
 
     /// Notes that claims are in the table; tasks that waited for them may start.
-    pub fn claimed(&mut self, now: time::Instant, keys: &[id::JobKey]) {
-        for key in keys {
+    pub fn claimed(&mut self, now: time::Instant, claims: &[action::Claim]) {
+        for action::Claim { key, digest, .. } in claims {
             let Some(job) = self.jobs.get_mut(key) else {
                 continue;
             };
+            // A claim of an earlier body under the key, which was refused meanwhile, claims nothing.
+            if job.submission.digest != *digest {
+                continue;
+            }
             let awaited = job.claim == job::Claim::Awaited;
             job.claim = job::Claim::Written;
             if awaited && job.ending.is_none() {
--- a/src/decide/owner/resume.rs
+++ b/src/decide/owner/resume.rs
@@ -1,6 +1,6 @@
 //! Taking up a job that an earlier owner accepted.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time;
 
@@ -23,7 +23,7 @@
         now: time::Instant,
         submission: Arc<submission::Submission>,
         waiter: action::Waiter,
-        tasks: BTreeMap<id::TaskIndex, (inherit::Life, ledger::Standing)>,
+        tasks: inherit::Remembered,
         rest_startable: bool,
     ) {
         let class = self.config.document.class(&submission.job.class);
@@ -31,7 +31,7 @@
         let mut job = job::Job::open(submission.clone(), now, now + target, job::Claim::Written);
         job.waiters.push(waiter);
         let key = submission.key.clone();
-        let mut asked: HashMap<id::AgentId, Vec<task::Id>> = HashMap::new();
+        let mut asked: HashMap<id::AgentId, Vec<order::Attempt>> = HashMap::new();
         let (mut gone, mut lost) = (false, false);
         for (index, (life, standing)) in &tasks {
             let agent = &life.agent;
@@ -50,11 +50,8 @@
                 job: key.clone(),
                 index: *index,
             };
-            self.outstanding
-                .entry(agent.clone())
-                .or_default()
-                .insert(id.clone());
-            asked.entry(agent.clone()).or_default().push(id);
+            let attempt = order::Attempt { id, attempt: 0 };
+            asked.entry(agent.clone()).or_default().push(attempt);
         }
         let missing = tasks.len() < job.tasks.len();
         self.deadlines.insert((job.deadline, key.clone()));
@@ -75,6 +72,8 @@
             return;
         }
         for (agent, ids) in asked {
+            let outstanding = self.outstanding.entry(agent.clone()).or_default();
+            outstanding.extend(ids.iter().map(|asked| asked.id.clone()));
             self.actions
                 .push(Action::Order(agent, order::Order::Resolve(ids)));
         }
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -96,15 +96,18 @@
         let declared = &job.submission.job.tasks[id.index as usize];
         job.tasks[id.index as usize] = Progress::Sent {
             agent: agent.clone(),
+            attempt: job.attempts + 1,
             at: now,
             queued: job.moments.queued(id.index),
             estimate: waiting.estimate,
         };
         job.agents.insert(agent.clone());
+        job.attempts += 1;
         let customer = job.submission.job.customer.clone();
         let left = job.deadline.saturating_duration_since(now);
         let start = order::Start {
             id: id.clone(),
+            attempt: job.attempts,
             customer: customer.clone(),
             deadline_ms: left.as_millis().max(1) as u64,
             needs: waiting.needs,
@@ -162,16 +165,42 @@
         &mut self,
         now: time::Instant,
         agent: &id::AgentId,
-        id: &task::Id,
+        refused: &order::Attempt,
         code: code::Code,
     ) {
+        let id = &refused.id;
         if code == code::Code::StaleEpoch {
             return;
         }
+        if code == code::Code::Cancelled {
+            // The job was withdrawn under an owner before; starting it elsewhere would undo that.
+            if !self.is_current(refused) {
+                return;
+            }
+            if let Some(index) = self.give_back(now, agent, id, None) {
+                let job = self.jobs.get_mut(&id.job);
+                job.expect("a task that was given back has a job").tasks[index] = Progress::Dropped;
+                self.fail(now, &id.job, code::Code::Cancelled);
+            }
+            return;
+        }
         if code == code::Code::WorkerBusy {
             self.blame(now, agent, &id.job, health::Outcome::Refused);
         }
-        self.requeue(now, agent, id, code);
+        self.requeue(now, agent, refused, code);
+    }
+
+    /// Tells whether a refusal covers the start that is under way, no earlier one.
+    ///
+    /// Guards against a refusal that arrives twice: after the first the task may have been sent to
+    /// the same agent again, and run there.
+    fn is_current(&self, refused: &order::Attempt) -> bool {
+        let job = self.jobs.get(&refused.id.job);
+        match job.and_then(|job| job.tasks.get(refused.id.index as usize)) {
+            Some(Progress::Sent { attempt, .. }) => *attempt <= refused.attempt,
+            // What was dropped is not started again.
+            Some(_) | None => true,
+        }
     }
 
     /// Lets a task that provably didn't start wait again, as far as the retry budget goes.
@@ -179,9 +208,13 @@
         &mut self,
         now: time::Instant,
         agent: &id::AgentId,
-        id: &task::Id,
+        refused: &order::Attempt,
         reason: code::Code,
     ) {
+        if !self.is_current(refused) {
+            return;
+        }
+        let id = &refused.id;
         let Some(index) = self.give_back(now, agent, id, None) else {
             return;
         };
--- a/tests/contract_silence.rs
+++ b/tests/contract_silence.rs
@@ -66,10 +66,10 @@
                     ran_us: 1,
                 }));
             }
-            Order::Resolve(ids) => {
-                for id in ids {
-                    self.resolved.lock().unwrap().push(id.clone());
-                    self.tell(Notice::Standing(id, ledger::Standing::Withdrawn));
+            Order::Resolve(asked) => {
+                for attempt in asked {
+                    self.resolved.lock().unwrap().push(attempt.id.clone());
+                    self.tell(Notice::Standing(attempt, ledger::Standing::Withdrawn));
                 }
             }
             _ => {}
--- a/tests/decide_support/mod.rs
+++ b/tests/decide_support/mod.rs
@@ -135,12 +135,23 @@
 
     /// Submits a job and returns its number.
     pub fn submit(&mut self, customer: &str, tasks: Vec<submission::Task>) -> Waiter {
+        let first = self.numbers + 1;
+        self.resubmit(customer, first, tasks)
+    }
+
+    /// Submits a job again, under the key of its first submission, and returns the new number.
+    pub fn resubmit(
+        &mut self,
+        customer: &str,
+        first: Waiter,
+        tasks: Vec<submission::Task>,
+    ) -> Waiter {
         self.numbers += 1;
         let number = self.numbers;
         let submission = submission::Submission {
-            key: key(customer, number),
-            digest: number,
-            minted_ms: Some(1_800_000_000_000),
+            key: key(customer, first),
+            digest: first,
+            minted_ms: Some(1_700_000_000_000),
             idempotent: true,
             job: submission::Job {
                 customer: customer.into(),
@@ -225,7 +236,9 @@
     ) {
         let notice = match outcome {
             Err(code) if code.outcome() == code::Outcome::NotRun => {
-                notice::Notice::Refused(id, code)
+                // It covers whatever start is under way.
+                let attempt = u32::MAX;
+                notice::Notice::Refused(order::Attempt { id, attempt }, code)
             }
             outcome => notice::Notice::Answer(notice::Answer {
                 id,
--- a/tests/fault_resumed_job.rs
+++ b/tests/fault_resumed_job.rs
@@ -9,7 +9,7 @@
 use lovagemill::decide::inherit;
 use lovagemill::decide::ledger;
 use lovagemill::decide::notice;
-use lovagemill::decide::order::Order;
+use lovagemill::decide::order::{self, Order};
 use lovagemill::decide::owner;
 use lovagemill::submission;
 use lovagemill::task;
@@ -129,7 +129,10 @@
         job: "canoas/k".into(),
         index: 0,
     };
-    let withdrawn = notice::Notice::Standing(id, ledger::Standing::Withdrawn);
+    let withdrawn = notice::Notice::Standing(
+        order::Attempt { id, attempt: 0 },
+        ledger::Standing::Withdrawn,
+    );
     let mut actions = owner.actions();
     owner.notice(now, &"a".into(), withdrawn);
     owner.dispatch(now);
