--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -11,13 +11,13 @@
 use crate::class;
 use crate::clock;
 use crate::controller::membership;
-use crate::count;
 use crate::decide::action::{self, Action};
 use crate::decide::notice;
 use crate::decide::order::Order;
 use crate::decide::owner;
 use crate::entry::agent_link::{self, AgentLink, LinkSender};
 use crate::entry::claiming;
+use crate::entry::scope::Scope;
 use crate::entry::spans;
 use crate::id;
 use crate::submission;
@@ -41,30 +41,6 @@
     Peer(link::Sender<peer::Returned>, u64),
 }
 
-/// What a cell is spawned with.
-pub struct Scope {
-    /// The cell.
-    pub cell: id::Cell,
-    /// The owner's epoch.
-    pub epoch: id::Epoch,
-    /// The revision of the cell's row.
-    pub revision: platform::Revision,
-    /// This entry.
-    pub entry: id::EntryId,
-    /// The platform's table.
-    pub table: platform::Table,
-    /// The counters.
-    pub messages: count::Messages,
-    /// Who goes next and where to.
-    pub policy: owner::Policy,
-    /// The configuration in force.
-    pub config: Arc<class::Versioned>,
-    /// Called where the cell turns out to have another owner.
-    pub deposed: Box<dyn Fn() + Send + Sync>,
-    /// Called where a write that began at the time given proved the ownership.
-    pub proved: Box<dyn Fn(time::Instant) + Send + Sync>,
-}
-
 /// A running cell.
 pub struct Cell {
     scope: Scope,
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -16,6 +16,7 @@
 use crate::entry::events;
 use crate::entry::inward;
 use crate::entry::peers::{self, Peers};
+use crate::entry::scope;
 use crate::entry::Config;
 use crate::id;
 use crate::key;
@@ -241,7 +242,7 @@
         log::info!("this entry owns cell {cell} at epoch {epoch}");
         let ownership = Arc::downgrade(&self.ownership);
         let proving = ownership.clone();
-        let owner = cell::spawn(cell::Scope {
+        let owner = cell::spawn(scope::Scope {
             cell,
             epoch,
             revision,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod offload;
 pub mod operate;
 mod peers;
+mod scope;
 mod spans;
 pub mod status;
 
