--- a/examples/claims_and_fencing.rs
+++ b/examples/claims_and_fencing.rs
@@ -61,7 +61,7 @@
     else {
         panic!("the job is known: {found:?}");
     };
-    assert_eq!(tasks[&0], ("agent-0".into(), Standing::Started));
+    assert_eq!(tasks[&0], (lives[0].clone(), Standing::Started));
     assert!(rest_startable);
     assert_eq!(agents[1].start(now, 2, &task("canoas/k1", 1)), Verdict::Run);
     // The same start twice runs once.
--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -6,11 +6,14 @@
 pub mod submit;
 pub mod work;
 
+use std::env;
+
 use clap::{Args, Parser, Subcommand};
 
 use crate::cli::client::{self, Client};
 use crate::cli::settings::Mistakes;
 use crate::cli::ExitCode;
+use crate::logging;
 
 /// A dispatcher for sub-second tasks: callers' and operators' command line.
 ///
@@ -101,6 +104,10 @@
 ///
 /// Returns what the user has to be told.
 pub async fn run(opts: Opts) -> anyhow::Result<ExitCode> {
+    if env::var_os("RUST_LOG").is_some() {
+        // Unasked for, log lines would only mix with what the command prints.
+        logging::init("lovagemill");
+    }
     match opts.command {
         Command::Demo(opts) => work::demo(&opts).await,
         Command::Load(opts) => work::load(&opts).await,
--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -19,8 +19,10 @@
 /// For how long after its last sight of the table an owner may start ahead of its claims.
 pub const TABLE_SIGHT: time::Duration = time::Duration::from_secs(2);
 
-/// Most that two clocks of the system's processes may differ.
-pub const CLOCK_SKEW: time::Duration = time::Duration::from_secs(2);
+/// Most that two clocks of the system's processes may differ; machines that keep time over the
+/// network differ by a few milliseconds. After a takeover with an agent missing, new work stays
+/// doubtful for [`TABLE_SIGHT`] and twice this, so a generous bound costs answers.
+pub const CLOCK_SKEW: time::Duration = time::Duration::from_millis(500);
 
 /// A claim as it stands in the table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -44,13 +46,16 @@
     pub incarnation: id::Incarnation,
 }
 
-/// A life that ended without a drain; what it started nobody can tell any more.
+/// A life that ended; what it started nobody can tell any more.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LostLife {
     /// The life.
     pub incarnation: id::Incarnation,
     /// When its loss was recorded, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// True where it left as planned, after the claims of all that it started were in the table.
+    #[serde(default)]
+    pub claimed: bool,
 }
 
 /// What was found out about a submission's key.
@@ -60,8 +65,8 @@
     Fresh,
     /// An earlier owner accepted it: where its tasks are, and whether the others may be started.
     Known {
-        /// Tasks that some agent remembers.
-        tasks: BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>,
+        /// Tasks that some agent remembered in a life of its.
+        tasks: BTreeMap<id::TaskIndex, (Life, ledger::Standing)>,
         /// True where tasks that no agent remembers provably never started.
         rest_startable: bool,
     },
@@ -77,9 +82,9 @@
     taken_at: time::Duration,
     give_up: time::Instant,
     awaited: Option<BTreeSet<Life>>,
-    lost: Vec<time::Duration>,
+    lost: Vec<(time::Duration, bool)>,
     claims: Option<HashMap<id::JobKey, Claimed>>,
-    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (id::AgentId, ledger::Standing)>>,
+    seen: HashMap<id::JobKey, BTreeMap<id::TaskIndex, (Life, ledger::Standing)>>,
 }
 
 impl Inheritance {
@@ -106,7 +111,7 @@
         self.give_up = now + PATIENCE;
         let recent = |life: &LostLife| {
             let at = time::Duration::from_millis(life.at_ms);
-            (at + ledger::RETENTION > self.taken_at).then_some(at)
+            (at + ledger::RETENTION > self.taken_at).then_some((at, life.claimed))
         };
         self.lost = lost.iter().filter_map(recent).collect();
     }
@@ -124,7 +129,7 @@
                 continue;
             }
             let job = self.seen.entry(id.job.clone()).or_default();
-            job.insert(id.index, (life.agent.clone(), *standing));
+            job.insert(id.index, (life.clone(), *standing));
         }
         if let Some(awaited) = &mut self.awaited {
             awaited.remove(life);
@@ -176,13 +181,14 @@
         };
         let safe = self.taken_at + TABLE_SIGHT + 2 * CLOCK_SKEW;
         let window = TABLE_SIGHT + 2 * CLOCK_SKEW;
-        let recently_lost = self.lost.iter().any(|at| *at + window > self.taken_at);
+        let recent = |(at, claimed): &(_, bool)| !claimed && *at + window > self.taken_at;
+        let recently_lost = self.lost.iter().any(recent);
         minted < safe && (self.unaccounted() > 0 || recently_lost)
     }
 
     /// Tells whether a task of a claim made at that time may have run on a life that is lost.
     fn may_be_lost(&self, claimed_at: Option<time::Duration>) -> bool {
         let since = claimed_at.unwrap_or_default();
-        self.unaccounted() > 0 || self.lost.iter().any(|lost| *lost + CLOCK_SKEW > since)
+        self.unaccounted() > 0 || self.lost.iter().any(|(at, _)| *at + CLOCK_SKEW > since)
     }
 }
