Drop the inputs of complete jobs

Cause: an ended job is kept ten minutes for resubmissions, with its submission and a record a task. Ruled out: links and metrics, which hold nothing a task. Change: a complete job keeps its key, digest and answer alone.

--- a/src/decide/job.rs
+++ b/src/decide/job.rs
@@ -96,6 +96,25 @@
         }
     }
 
+    /// Drops the tasks and their inputs of a complete job. All of them have come back, so nobody asks
+    /// for one by its index again; what resubmissions need is the key, the digest and the ending.
+    pub fn release(&mut self) {
+        let whole = &self.submission;
+        self.submission = Arc::new(submission::Submission {
+            key: whole.key.clone(),
+            digest: whole.digest,
+            minted_ms: whole.minted_ms,
+            idempotent: whole.idempotent,
+            job: submission::Job {
+                customer: whole.job.customer.clone(),
+                class: whole.job.class.clone(),
+                tasks: Vec::new(),
+            },
+            traceparent: None,
+        });
+        self.tasks = Vec::new();
+    }
+
     /// Tells whether any task was ever handed to an agent that didn't refuse it.
     pub fn may_have_run(&self) -> bool {
         self.tasks
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -84,6 +84,9 @@
                 *task = Progress::Dropped;
             }
         }
+        if matches!(*ending, submission::Ending::Complete(_)) {
+            job.release();
+        }
         self.deadlines.remove(&(job.deadline, key.clone()));
         self.ended.push_back((now, key.clone()));
         self.unacknowledged.push_back((now, key.clone()));
