Never start a job again whose ending made room for newer ones

Cause: an owner kept the endings of 20,000 jobs; the next one pushed the oldest out altogether, and a resubmission of it within the ten minutes passed for a fresh one. At 34 jobs a second that is every job older than ten minutes, at 1,000 a second every one older than 20 s. Ruled out: agents, which refuse what they have started, but not what another agent had. Answers that are kept are bounded in bytes, too.

--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -21,7 +21,7 @@
         waiter: action::Waiter,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(&submission.key) else {
-            return false;
+            return self.attach_to_gone(submission, waiter);
         };
         if job.submission.digest != submission.digest {
             self.refuse(waiter, refusal::Refusal::new(code::Code::KeyReused));
@@ -34,6 +34,24 @@
         true
     }
 
+    /// Answers a submission whose ending is no longer kept.
+    fn attach_to_gone(
+        &mut self,
+        submission: &submission::Submission,
+        waiter: action::Waiter,
+    ) -> bool {
+        let Some(digest) = self.gone.get(&submission.key) else {
+            return false;
+        };
+        let code = if *digest == submission.digest {
+            code::Code::AnswerGone
+        } else {
+            code::Code::KeyReused
+        };
+        self.refuse(waiter, refusal::Refusal::new(code));
+        true
+    }
+
     pub(super) fn refuse(&mut self, waiter: action::Waiter, refusal: refusal::Refusal) {
         let ending = Arc::new(submission::Ending::Failed(refusal));
         self.actions.push(Action::Reply(waiter, ending));
@@ -75,6 +93,7 @@
             self.actions.push(Action::Record(timing));
         }
         let ending = Arc::new(ending);
+        self.kept_bytes += size(&ending);
         job.ending = Some(ending.clone());
         for waiter in std::mem::take(&mut job.waiters) {
             self.actions.push(Action::Reply(waiter, ending.clone()));
@@ -116,19 +135,47 @@
         }
     }
 
+    /// Drops endings that are old, and of the others the oldest where they take too much room.
+    ///
+    /// Guards against a resubmission that starts a job again because its ending made room for
+    /// others: its key and digest stay until the ending would have been old.
     pub(super) fn forget(&mut self, now: time::Instant) {
-        while let Some((at, key)) = self.ended.front() {
-            let old = now.saturating_duration_since(*at) >= owner::KEEP
-                || self.ended.len() > owner::MAX_KEPT;
-            if !old {
-                return;
-            }
-            if self.jobs.get(key).is_some_and(|job| job.ending.is_some()) {
-                self.jobs.remove(key);
+        let is_old = |at| now.saturating_duration_since(at) >= owner::KEEP;
+        while let Some((at, _)) = self.ended.front() {
+            let old = is_old(*at);
+            let full =
+                self.ended.len() > owner::MAX_KEPT || self.kept_bytes > owner::MAX_KEPT_BYTES;
+            if !old && !full {
+                break;
             }
-            self.ended.pop_front();
+            let (at, key) = self.ended.pop_front().expect("the front was there");
+            self.drop_ending(at, key, old);
+        }
+        while self.gone_since.front().is_some_and(|(at, _)| is_old(*at)) {
+            let (_, key) = self.gone_since.pop_front().expect("the front was there");
+            self.gone.remove(&key);
         }
     }
+
+    fn drop_ending(&mut self, at: time::Instant, key: id::JobKey, old: bool) {
+        let Some(ending) = self.jobs.get(&key).and_then(|job| job.ending.as_ref()) else {
+            return;
+        };
+        self.kept_bytes -= size(ending);
+        let job = self.jobs.remove(&key).expect("the job was there");
+        if !old {
+            self.gone.insert(key.clone(), job.submission.digest);
+            self.gone_since.push_back((at, key));
+        }
+    }
+}
+
+/// Bytes that an ending takes beside its job.
+fn size(ending: &submission::Ending) -> usize {
+    match ending {
+        submission::Ending::Complete(answers) => answers.iter().map(|a| a.get().len()).sum(),
+        submission::Ending::Failed(_) => 0,
+    }
 }
 
 /// Where the time of a job went; nothing without a trace.
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -39,9 +39,12 @@
 /// How long an ending is kept for resubmissions.
 pub const KEEP: time::Duration = ledger::RETENTION;
 
-/// Most ended jobs that are kept.
+/// Most ended jobs whose endings are kept; of others only the key and digest are.
 pub const MAX_KEPT: usize = 20_000;
 
+/// Most bytes of answers that are kept; past it the oldest are dropped.
+pub const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
 /// What the operators and the command line set for an owner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Policy {
@@ -64,6 +67,9 @@
     jobs: HashMap<id::JobKey, job::Job>,
     deadlines: BTreeSet<(time::Instant, id::JobKey)>,
     ended: VecDeque<(time::Instant, id::JobKey)>,
+    kept_bytes: usize,
+    gone: HashMap<id::JobKey, u64>,
+    gone_since: VecDeque<(time::Instant, id::JobKey)>,
     unacknowledged: VecDeque<(time::Instant, id::JobKey)>,
     outstanding: HashMap<id::AgentId, BTreeSet<task::Id>>,
     queue: queue::Queue,
@@ -95,6 +101,9 @@
             jobs: HashMap::new(),
             deadlines: BTreeSet::new(),
             ended: VecDeque::new(),
+            kept_bytes: 0,
+            gone: HashMap::new(),
+            gone_since: VecDeque::new(),
             unacknowledged: VecDeque::new(),
             outstanding: HashMap::new(),
             queue: queue::Queue::open(policy.queue, now),
--- a/tests/decide_release.rs
+++ b/tests/decide_release.rs
@@ -7,6 +7,7 @@
 
 use compact_str::format_compact;
 use lovagemill::code::Code;
+use lovagemill::decide::owner;
 use lovagemill::submission::{Job, Submission};
 
 fn submission(digest: u64) -> Arc<Submission> {
@@ -49,3 +50,35 @@
     assert!(fake.is_complete(4));
     assert_eq!(fake.starts.len(), 20);
 }
+
+/// A caller resubmits after its answer was lost. In between, more jobs have ended than an owner
+/// keeps endings of, and the job was forgotten: it would start again from nothing.
+#[test]
+fn a_job_whose_ending_made_room_for_others_never_starts_again() {
+    let mut fake = decide_support::open(11);
+    let whole = submission(7);
+    fake.owner.table_seen(fake.now);
+    fake.owner.submit(fake.now, whole.clone(), u64::MAX);
+    fake.pass(time::Duration::from_secs(1));
+    let starts = fake.starts.len();
+    let others = owner::MAX_KEPT + 1;
+    for _ in 0..others / 80 + 1 {
+        for _ in 0..80 {
+            fake.submit("mill", decide_support::tasks(1, 1, 1));
+        }
+        fake.pass(time::Duration::from_millis(25));
+    }
+    fake.pass(time::Duration::from_secs(1));
+    let before = fake.starts.len();
+    assert!(before - starts > owner::MAX_KEPT, "{before}");
+    fake.owner.submit(fake.now, whole, u64::MAX - 1);
+    fake.owner.submit(fake.now, submission(8), u64::MAX - 2);
+    fake.owner
+        .cancel(fake.now, &submission(7).key, u64::MAX - 3);
+    fake.pass(time::Duration::from_secs(1));
+    assert_eq!(fake.starts.len(), before);
+    let code = |number| fake.refusal(number).map(|refusal| refusal.code);
+    assert_eq!(code(u64::MAX - 1), Some(Code::AnswerGone));
+    assert_eq!(code(u64::MAX - 2), Some(Code::KeyReused));
+    assert_eq!(code(u64::MAX - 3), Some(Code::JobUnknown));
+}
