--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -115,6 +115,7 @@
             self.actions.push(Action::Record(timing));
         }
         let ending = Arc::new(ending);
+        self.kept_bytes += size(&ending);
         job.ending = Some(ending.clone());
         for waiter in std::mem::take(&mut job.waiters) {
             self.actions.push(Action::Reply(waiter, ending.clone()));
@@ -124,6 +125,9 @@
                 *task = Progress::Dropped;
             }
         }
+        if matches!(*ending, submission::Ending::Complete(_)) {
+            job.release();
+        }
         self.deadlines.remove(&(job.deadline, key.clone()));
         self.kept_bytes += job.bytes();
         self.ended.push_back((now, key.clone()));
