--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -8,7 +8,7 @@
 use crate::bench::parts::{self, Sizes};
 use crate::bench::slope::{self, Reading, Slope};
 use crate::bench::Config;
-use crate::count::Kind;
+use crate::count::{Kind, Messages};
 use crate::decide::owner;
 use crate::demo::{self, caller, deployment};
 
@@ -35,6 +35,11 @@
     Ok(found)
 }
 
+/// Bytes of messages on links that carry neither work nor answers.
+fn control<'a>(all: impl Iterator<Item = &'a Messages>) -> u64 {
+    all.map(|messages| messages.bytes(Kind::Control)).sum()
+}
+
 async fn at_work(duration: time::Duration, aged_keys: bool) -> anyhow::Result<Vec<Reading>> {
     let parts = parts::open(Sizes {
         entries: 3,
@@ -77,6 +82,8 @@
         entries.chain(agents).sum::<u64>() as f64
     };
     let tasks = sum(Kind::Backend) / 2.0;
+    let from_entries: u64 = control(parts.entries.iter().map(|node| &node.messages));
+    let from_agents: u64 = control(parts.agents.iter().map(|node| &node.messages));
     let (_, writes) = parts.platform.operations();
     let keys = if aged_keys {
         "keys that tell their age"
--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,138 @@
+//! What the pages for operators and developers name is there: links, codes, metrics, log texts and
+//! folders.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use lovagemill::code::Code;
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn read(path: &Path) -> String {
+    fs::read_to_string(path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
+}
+
+fn files(dir: &Path, extension: &str) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir).expect("the folder can be read") {
+        let path = entry.expect("the folder can be read").path();
+        if path.is_dir() {
+            found.extend(files(&path, extension));
+        } else if path.extension().is_some_and(|ext| ext == extension) {
+            found.push(path);
+        }
+    }
+    found
+}
+
+fn pages() -> Vec<PathBuf> {
+    let mut pages = files(&root().join("docs"), "md");
+    pages.push(root().join("README.md"));
+    pages
+}
+
+/// All sources as one text, with string literals that go over several lines joined.
+fn sources() -> String {
+    let mut paths = files(&root().join("src"), "rs");
+    paths.sort();
+    let all: Vec<String> = paths.iter().map(|path| read(path)).collect();
+    all.join("\n")
+}
+
+/// The pieces of a text between backticks.
+fn quoted(text: &str) -> impl Iterator<Item = &str> {
+    text.split('`').skip(1).step_by(2)
+}
+
+#[test]
+fn links_between_pages_lead_somewhere() {
+    for page in pages() {
+        let text = read(&page);
+        for part in text.split("](").skip(1) {
+            let target = part.split([')', '#']).next().unwrap_or_default();
+            if target.is_empty() || target.contains("://") {
+                continue;
+            }
+            let path = page.parent().expect("a page lies in a folder").join(target);
+            assert!(path.exists(), "{} links to {target}", page.display());
+        }
+    }
+}
+
+#[test]
+fn codes_on_pages_exist() {
+    let known: BTreeSet<String> = Code::ALL.iter().map(ToString::to_string).collect();
+    for page in pages() {
+        let text = read(&page);
+        for (at, _) in text.match_indices("LM") {
+            let code: String = text[at..].chars().take(6).collect();
+            if code[2..].chars().all(|c| c.is_ascii_digit()) && code.len() == 6 {
+                assert!(known.contains(&code), "{} names {code}", page.display());
+            }
+        }
+    }
+}
+
+#[test]
+fn metrics_on_pages_exist() {
+    let sources = sources();
+    for page in pages() {
+        let text = read(&page);
+        let metrics = quoted(&text).filter_map(|piece| piece.strip_prefix("lovagemill_"));
+        for metric in metrics {
+            let metric = metric.split('{').next().unwrap_or_default();
+            let literal = format!("\"{metric}\"");
+            let page = page.display();
+            assert!(
+                sources.contains(&literal),
+                "{page} names lovagemill_{metric}"
+            );
+        }
+    }
+}
+
+/// Operators search logs for these texts, so each has to stand in the source as it is quoted.
+#[test]
+fn log_texts_of_the_faults_page_are_written_by_the_source() {
+    let sources = sources();
+    let text = read(&root().join("docs/operate/faults.md"));
+    let mut checked = 0;
+    for entry in text.split("\n- ").filter(|entry| entry.starts_with("Log:")) {
+        let entry = entry.split("\n\n").next().unwrap_or_default();
+        let quotes: Vec<&str> = quoted(entry).collect();
+        for quote in quotes.iter().filter(|quote| quote.contains(' ')) {
+            assert!(sources.contains(quote), "nobody logs `{quote}`");
+            checked += 1;
+        }
+    }
+    assert!(checked > 10, "only {checked} log texts were found");
+}
+
+#[test]
+fn the_architecture_page_lists_every_folder() {
+    let text = read(&root().join("docs/ARCHITECTURE.md"));
+    for entry in fs::read_dir(root().join("src")).expect("the folder can be read") {
+        let path = entry.expect("the folder can be read").path();
+        if path.is_dir() {
+            let name = path.file_name().expect("a folder has a name");
+            let row = format!("`{}/`", name.to_string_lossy());
+            assert!(text.contains(&row), "{row} isn't on the page");
+        }
+    }
+}
+
+/// A path in the architecture page's backticks that looks like a source is one.
+#[test]
+fn sources_on_the_architecture_page_exist() {
+    let text = read(&root().join("docs/ARCHITECTURE.md"));
+    for piece in quoted(&text).filter(|piece| piece.ends_with(".rs")) {
+        let path = match piece.strip_prefix("tests/") {
+            Some(rest) => root().join("tests").join(rest),
+            None => root().join("src").join(piece),
+        };
+        assert!(path.exists(), "the page names {piece}");
+    }
+}
