Never start an ended job again because its answers were given up

An owner keeps the answers of 20,000 ended jobs. Of older ones it forgot the key as well, and the claims that it read at its takeover don't name keys of its own time, so a resubmission within the retention time was taken for a new job and ran a second time. At 300 short jobs a second that took about a minute. Ruled out: the agents' ledgers, which refuse only at the agent that ran it before.

The key, the digest and a failure now stay for the retention time, without answers; the resubmission hears LM4003, or the failure. A job that is refused with nothing run leaves no entry behind in the list of ended jobs either, since that entry would make the owner forget a later run under the same key too early.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod notice;
 pub mod order;
 pub mod owner;
+pub mod past;
 pub mod queue;
 pub mod retry;
 pub mod shape;
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -21,7 +21,11 @@
         waiter: action::Waiter,
     ) -> bool {
         let Some(job) = self.jobs.get_mut(&submission.key) else {
-            return false;
+            let past = self.past.look(&submission.key, submission.digest);
+            let known = past.is_some();
+            let reply = past.map(|ending| Action::Reply(waiter, ending));
+            self.actions.extend(reply);
+            return known;
         };
         if job.submission.digest != submission.digest {
             self.refuse(waiter, refusal::Refusal::new(code::Code::KeyReused));
@@ -66,6 +70,8 @@
         if forget {
             // Nothing ran, so a retry under the same key starts from nothing.
             self.jobs.remove(key);
+            self.ended.pop_back();
+            self.unacknowledged.pop_back();
         }
     }
 
@@ -114,13 +120,16 @@
     }
 
     pub(super) fn forget(&mut self, now: time::Instant) {
+        self.past.forget(now, owner::KEEP);
         while let Some((at, key)) = self.ended.front() {
             let old = now.saturating_duration_since(*at) >= owner::KEEP
                 || self.ended.len() > owner::MAX_KEPT;
             if !old {
                 return;
             }
-            if self.jobs.get(key).is_some_and(|job| job.ending.is_some()) {
+            let job = self.jobs.get(key);
+            if let Some((job, ending)) = job.and_then(|job| Some((job, job.ending.as_ref()?))) {
+                self.past.keep(*at, &job.submission, ending);
                 self.jobs.remove(key);
             }
             self.ended.pop_front();
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -23,6 +23,7 @@
 use crate::decide::inherit;
 use crate::decide::job;
 use crate::decide::ledger;
+use crate::decide::past;
 use crate::decide::queue;
 use crate::decide::retry;
 use crate::id;
@@ -39,7 +40,7 @@
 /// How long an ending is kept for resubmissions.
 pub const KEEP: time::Duration = ledger::RETENTION;
 
-/// Most ended jobs that are kept.
+/// Most ended jobs whose answers are kept; of older ones only the key stays, see [`past`].
 pub const MAX_KEPT: usize = 20_000;
 
 /// What the operators and the command line set for an owner.
@@ -65,6 +66,7 @@
     deadlines: BTreeSet<(time::Instant, id::JobKey)>,
     ended: VecDeque<(time::Instant, id::JobKey)>,
     unacknowledged: VecDeque<(time::Instant, id::JobKey)>,
+    past: past::Past,
     outstanding: HashMap<id::AgentId, BTreeSet<task::Id>>,
     queue: queue::Queue,
     fleet: fleet::Fleet,
@@ -96,6 +98,7 @@
             deadlines: BTreeSet::new(),
             ended: VecDeque::new(),
             unacknowledged: VecDeque::new(),
+            past: past::Past::default(),
             outstanding: HashMap::new(),
             queue: queue::Queue::open(policy.queue, now),
             fleet: fleet::Fleet::open(policy.placement, epoch),
--- a/tests/decide_support/mod.rs
+++ b/tests/decide_support/mod.rs
@@ -135,11 +135,30 @@
 
     /// Submits a job and returns its number.
     pub fn submit(&mut self, customer: &str, tasks: Vec<submission::Task>) -> Waiter {
+        self.submit_as(customer, self.numbers + 1, tasks)
+    }
+
+    /// Submits under the key and body of an earlier job; returns the number of this try.
+    pub fn resubmit(
+        &mut self,
+        customer: &str,
+        earlier: Waiter,
+        tasks: Vec<submission::Task>,
+    ) -> Waiter {
+        self.submit_as(customer, earlier, tasks)
+    }
+
+    fn submit_as(
+        &mut self,
+        customer: &str,
+        key_number: Waiter,
+        tasks: Vec<submission::Task>,
+    ) -> Waiter {
         self.numbers += 1;
         let number = self.numbers;
         let submission = submission::Submission {
-            key: key(customer, number),
-            digest: number,
+            key: key(customer, key_number),
+            digest: key_number,
             minted_ms: Some(1_800_000_000_000),
             idempotent: true,
             job: submission::Job {
