--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -123,6 +123,16 @@
             "messages",
             sum(Kind::Control) / tasks,
         ),
+        one(
+            "control that entries send, per task",
+            "bytes",
+            from_entries as f64 / tasks,
+        ),
+        one(
+            "control that agents send, per task",
+            "bytes",
+            from_agents as f64 / tasks,
+        ),
         one(
             "platform writes",
             "1/s",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
 //! lovagemill is a dispatcher for sub-second tasks, and a library of the coordination parts it is
 //! built from.
 //!
-//! Read `docs/ARCHITECTURE.md` for the picture. Imports go one way, down this list: the running
-//! parts ([`entry`], [`agent`], [`standin`], [`demo`], [`bench`]), the request [`filter`] chain and the state
-//! [`controller`]s, the [`wire`] interfaces, the pure decisions in [`decide`], and the ground
-//! modules that everything may use.
+//! Read `docs/ARCHITECTURE.md` for the picture. Imports go one way, down this list: the command
+//! line in [`cli`], the measurements in [`mod@bench`], the [`demo`], the running parts ([`entry`],
+//! [`agent`], [`standin`]), the request [`filter`] chain, the state [`controller`]s, the [`wire`]
+//! interfaces, the pure decisions in [`decide`], and the ground modules that everything may use.
 
 pub mod agent;
 pub mod bench;
--- a/src/wire/caller.rs
+++ b/src/wire/caller.rs
@@ -25,16 +25,16 @@
     /// Whether running it twice would do no harm.
     #[serde(default)]
     pub idempotent: bool,
-    /// As in [`Task`].
+    /// As in [`Task`](submission::Task).
     #[serde(default)]
     pub kind: CompactString,
-    /// As in [`Task`].
+    /// As in [`Task`](submission::Task).
     #[serde(default)]
     pub run_ms: u64,
-    /// As in [`Task`].
+    /// As in [`Task`](submission::Task).
     #[serde(default)]
     pub needs: task::Needs,
-    /// As in [`Task`].
+    /// As in [`Task`](submission::Task).
     pub input: Box<RawValue>,
 }
 
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -6,6 +6,8 @@
 mod fair_queue;
 #[path = "../examples/placement.rs"]
 mod placement;
+#[path = "../examples/sick_workers.rs"]
+mod sick_workers;
 #[path = "../examples/versioned_configuration.rs"]
 mod versioned_configuration;
 
@@ -24,6 +26,11 @@
     placement::main();
 }
 
+#[test]
+fn sick_workers_runs() {
+    sick_workers::main();
+}
+
 #[test]
 fn versioned_configuration_runs() {
     versioned_configuration::main();
