--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -106,6 +106,8 @@
             if let Some(job) = self.jobs.remove(key) {
                 self.kept_bytes -= job.bytes();
             }
+            self.ended.pop_back();
+            self.unacknowledged.pop_back();
         }
     }
 
@@ -115,7 +117,6 @@
             self.actions.push(Action::Record(timing));
         }
         let ending = Arc::new(ending);
-        self.kept_bytes += size(&ending);
         job.ending = Some(ending.clone());
         for waiter in std::mem::take(&mut job.waiters) {
             self.actions.push(Action::Reply(waiter, ending.clone()));
