--- a/src/agent/join.rs
+++ b/src/agent/join.rs
@@ -102,12 +102,16 @@
     }
 }
 
-/// The lives that ended without a drain, the one before included, as long as they matter.
+/// The lives that ended, the one before included, as long as they matter.
 fn lost_lives(before: rows::Agent) -> Vec<inherit::LostLife> {
     let now_ms = clock::since_epoch().as_millis() as u64;
     let keep_ms = 2 * ledger::RETENTION.as_millis() as u64;
     let mut lost = before.lost;
     lost.retain(|life| life.at_ms + keep_ms > now_ms);
+    if before.addr.is_empty() {
+        // It left in order and recorded its own end.
+        return lost;
+    }
     lost.push(inherit::LostLife {
         incarnation: before.incarnation,
         at_ms: now_ms,
@@ -115,7 +119,11 @@
     lost
 }
 
-/// Removes the row of a life that ended with nothing unaccounted for.
+/// Records the end of a life that drained.
+///
+/// Guards against a second run of a task whose answer was acknowledged, and whose caller and owner
+/// are lost a little later: with the row gone, a new owner would take the silence of the other
+/// agents for proof that nobody ever started the task.
 pub async fn leave(cell: id::Cell, work: &Work, table: &platform::Table) {
     let key = rows::agent(cell, work.id());
     let Ok(Some(row)) = (table.get)(key.clone()).await else {
@@ -127,13 +135,12 @@
     if agent.incarnation != work.incarnation() {
         return;
     }
-    // The lives lost before this one are still to be told, so the row stays while there are any.
     agent.lost = lost_lives(agent.clone());
-    agent.lost.pop();
-    let mut tx = Transaction::put_if(&key, row.revision, String::new());
-    tx.writes[0].value = None;
+    agent.addr = CompactString::default();
+    let Ok(value) = serde_json::to_string(&agent) else {
+        return;
+    };
+    let mut tx = Transaction::put_if(&key, row.revision, value);
     tx.writes.push(members_changed(cell, work));
-    if agent.lost.is_empty() {
-        let _ = (table.commit)(tx).await;
-    }
+    let _ = (table.commit)(tx).await;
 }
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -10,9 +10,11 @@
 use tokio::sync::Notify;
 
 use crate::backoff;
+use crate::clock;
 use crate::decide::inherit;
+use crate::decide::ledger;
 use crate::id;
-use crate::wire::platform;
+use crate::wire::platform::{self, Transaction};
 use crate::wire::rows;
 
 /// Pauses while the table fails, growing from the first to the second with jitter.
@@ -38,11 +40,12 @@
     let mut backoff = backoff::open(MIN_PAUSE, MAX_PAUSE);
     loop {
         match read(&table, cell).await {
-            Ok(members) => {
+            Ok(mut members) => {
                 if first {
                     (events.first)(&members);
                     first = false;
                 }
+                members.retain(|_, row| !row.addr.is_empty());
                 (events.current)(&members);
                 backoff.reset();
                 changed.notified().await;
@@ -66,18 +69,36 @@
     let mut members = HashMap::new();
     for row in found {
         let id = row.key[prefix.len()..].into();
-        members.insert(id, serde_json::from_str(&row.value)?);
+        let agent: rows::Agent = serde_json::from_str(&row.value)?;
+        if is_over(&agent) {
+            let mut tx = Transaction::put_if(&row.key, row.revision, String::new());
+            tx.writes[0].value = None;
+            // Whoever reads next tries again.
+            let _ = (table.commit)(tx).await;
+        } else {
+            members.insert(id, agent);
+        }
     }
     Ok(members)
 }
 
+/// Tells whether a row speaks only of lives that no submission can ask for any more.
+fn is_over(agent: &rows::Agent) -> bool {
+    let now = clock::since_epoch();
+    let is_old = |life: &inherit::LostLife| {
+        time::Duration::from_millis(life.at_ms) + 2 * ledger::RETENTION < now
+    };
+    agent.addr.is_empty() && agent.lost.iter().all(is_old)
+}
+
 /// The lives that an owner has to hear of.
 pub fn lives(members: &HashMap<id::AgentId, rows::Agent>) -> Vec<inherit::Life> {
     let life = |(agent, row): (&id::AgentId, &rows::Agent)| inherit::Life {
         agent: agent.clone(),
         incarnation: row.incarnation,
     };
-    members.iter().map(life).collect()
+    let present = members.iter().filter(|(_, row)| !row.addr.is_empty());
+    present.map(life).collect()
 }
 
 /// The lives that were lost before.
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -95,9 +95,9 @@
 pub struct Agent {
     /// The agent's life.
     pub incarnation: id::Incarnation,
-    /// Where its owner connects (host and port).
+    /// Where its owner connects (host and port); empty once it has left.
     pub addr: CompactString,
-    /// Earlier lives that ended without a drain.
+    /// Earlier lives, and this one once it has left.
     #[serde(default)]
     pub lost: Vec<inherit::LostLife>,
 }
