Merge main into the claims work

What both sides had mended on their own is kept once: the life that reported a task, the note of a leaving agent, the cancellation of an unknown job.

--- a/src/agent/join.rs
+++ b/src/agent/join.rs
@@ -75,6 +75,7 @@
         incarnation: work.incarnation(),
         addr: addr.clone(),
         lost: Vec::new(),
+        left: false,
     };
     if let Some(before) = before {
         let before: rows::Agent = serde_json::from_str(&before.value)?;
@@ -82,7 +83,11 @@
             // The answer to an earlier try was lost after its write took effect.
             return Ok(());
         }
-        row.lost = lost_lives(before);
+        row.lost = if before.left {
+            recent(before.lost)
+        } else {
+            lost_lives(before, false)
+        };
     }
     let value = serde_json::to_string(&row)?;
     let mut tx = Transaction::put_if(&key, revision, value);
@@ -103,28 +108,30 @@
 }
 
 /// The lives that ended, the one before included, as long as they matter.
-fn lost_lives(before: rows::Agent) -> Vec<inherit::LostLife> {
-    let now_ms = clock::since_epoch().as_millis() as u64;
-    let keep_ms = 2 * ledger::RETENTION.as_millis() as u64;
-    let mut lost = before.lost;
-    lost.retain(|life| life.at_ms + keep_ms > now_ms);
-    if before.addr.is_empty() {
-        // It left in order and recorded its own end.
-        return lost;
-    }
+fn lost_lives(before: rows::Agent, claimed: bool) -> Vec<inherit::LostLife> {
+    let mut lost = recent(before.lost);
     lost.push(inherit::LostLife {
         incarnation: before.incarnation,
-        at_ms: now_ms,
+        at_ms: clock::since_epoch().as_millis() as u64,
+        claimed,
     });
     lost
 }
 
-/// Records the end of a life that drained.
+fn recent(mut lost: Vec<inherit::LostLife>) -> Vec<inherit::LostLife> {
+    let now_ms = clock::since_epoch().as_millis() as u64;
+    let keep_ms = 2 * ledger::RETENTION.as_millis() as u64;
+    lost.retain(|life| life.at_ms + keep_ms > now_ms);
+    lost
+}
+
+/// Takes the agent out of its cell, and leaves a note of what its memory held.
 ///
-/// Guards against a second run of a task whose answer was acknowledged, and whose caller and owner
-/// are lost a little later: with the row gone, a new owner would take the silence of the other
-/// agents for proof that nobody ever started the task.
-pub async fn leave(cell: id::Cell, work: &Work, table: &platform::Table) {
+/// Guards against an owner that takes the cell over after the agent has left: it finds the claim of
+/// a job that was submitted again and nobody who remembers its tasks, and would start them a second
+/// time. The note tells it that they may have run. `claimed` says that the claims of all that this
+/// life started were written before it left.
+pub async fn leave(cell: id::Cell, work: &Work, table: &platform::Table, claimed: bool) {
     let key = rows::agent(cell, work.id());
     let Ok(Some(row)) = (table.get)(key.clone()).await else {
         return;
@@ -135,12 +142,15 @@
     if agent.incarnation != work.incarnation() {
         return;
     }
-    agent.lost = lost_lives(agent.clone());
-    agent.addr = CompactString::default();
-    let Ok(value) = serde_json::to_string(&agent) else {
-        return;
+    agent.lost = if work.has_started() {
+        lost_lives(agent.clone(), claimed)
+    } else {
+        recent(agent.lost)
     };
-    let mut tx = Transaction::put_if(&key, row.revision, value);
+    agent.left = true;
+    let value = serde_json::to_string(&agent).ok();
+    let mut tx = Transaction::put_if(&key, row.revision, String::new());
+    tx.writes[0].value = value.filter(|_| !agent.lost.is_empty());
     tx.writes.push(members_changed(cell, work));
     let _ = (table.commit)(tx).await;
 }
--- a/src/controller/membership.rs
+++ b/src/controller/membership.rs
@@ -45,7 +45,7 @@
                     (events.first)(&members);
                     first = false;
                 }
-                members.retain(|_, row| !row.addr.is_empty());
+                members.retain(|_, row| !row.left);
                 (events.current)(&members);
                 backoff.reset();
                 changed.notified().await;
@@ -88,7 +88,7 @@
     let is_old = |life: &inherit::LostLife| {
         time::Duration::from_millis(life.at_ms) + 2 * ledger::RETENTION < now
     };
-    agent.addr.is_empty() && agent.lost.iter().all(is_old)
+    agent.left && agent.lost.iter().all(is_old)
 }
 
 /// The lives that an owner has to hear of.
@@ -97,8 +97,11 @@
         agent: agent.clone(),
         incarnation: row.incarnation,
     };
-    let present = members.iter().filter(|(_, row)| !row.addr.is_empty());
-    present.map(life).collect()
+    members
+        .iter()
+        .filter(|(_, row)| !row.left)
+        .map(life)
+        .collect()
 }
 
 /// The lives that were lost before.
--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -20,8 +20,10 @@
 /// For how long after its last sight of the table an owner may start ahead of its claims.
 pub const TABLE_SIGHT: time::Duration = time::Duration::from_secs(2);
 
-/// Most that two clocks of the system's processes may differ.
-pub const CLOCK_SKEW: time::Duration = time::Duration::from_secs(2);
+/// Most that two clocks of the system's processes may differ; machines that keep time over the
+/// network differ by a few milliseconds. After a takeover with an agent missing, new work stays
+/// doubtful for [`TABLE_SIGHT`] and twice this, so a generous bound costs answers.
+pub const CLOCK_SKEW: time::Duration = time::Duration::from_millis(500);
 
 /// A claim as it stands in the table.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -58,13 +60,16 @@
     pub incarnation: id::Incarnation,
 }
 
-/// A life that ended without a drain; what it started nobody can tell any more.
+/// A life that ended; what it started nobody can tell any more.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LostLife {
     /// The life.
     pub incarnation: id::Incarnation,
     /// When its loss was recorded, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// True where it left as planned, after the claims of all that it started were in the table.
+    #[serde(default)]
+    pub claimed: bool,
 }
 
 /// Tasks of one job, with the life that remembers each and how it stands there.
@@ -94,7 +99,7 @@
     taken_at: time::Duration,
     give_up: time::Instant,
     awaited: Option<BTreeSet<Life>>,
-    lost: Vec<time::Duration>,
+    lost: Vec<(time::Duration, bool)>,
     claims: Option<HashMap<id::JobKey, Claimed>>,
     seen: HashMap<id::JobKey, Remembered>,
 }
@@ -123,7 +128,7 @@
         self.give_up = now + PATIENCE;
         let recent = |life: &LostLife| {
             let at = time::Duration::from_millis(life.at_ms);
-            (at + ledger::RETENTION > self.taken_at).then_some(at)
+            (at + ledger::RETENTION > self.taken_at).then_some((at, life.claimed))
         };
         self.lost = lost.iter().filter_map(recent).collect();
     }
@@ -200,14 +205,15 @@
             return false;
         };
         let unreachable = (self.unaccounted() > 0).then_some(self.taken_at);
-        let ends = self.lost.iter().copied().chain(unreachable);
+        let unclaimed = self.lost.iter().filter(|(_, claimed)| !claimed);
+        let mut ends = unclaimed.map(|(at, _)| *at).chain(unreachable);
         let slack = TABLE_SIGHT + 2 * CLOCK_SKEW;
-        ends.into_iter().any(|end| minted < end + slack)
+        ends.any(|end| minted < end + slack)
     }
 
     /// Tells whether a task of a claim made at that time may have run on a life that is lost.
     fn may_be_lost(&self, claimed_at: Option<time::Duration>) -> bool {
         let since = claimed_at.unwrap_or_default();
-        self.unaccounted() > 0 || self.lost.iter().any(|lost| *lost + CLOCK_SKEW > since)
+        self.unaccounted() > 0 || self.lost.iter().any(|(at, _)| *at + CLOCK_SKEW > since)
     }
 }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -154,7 +154,7 @@
                 Verdict::Refuse(code::Code::Burned)
             }
             Some(Record::Withdrawn(_)) | None if job.closed => {
-                Verdict::Refuse(code::Code::CancelledBefore)
+                Verdict::Refuse(code::Code::Cancelled)
             }
             Some(Record::Withdrawn(_)) | None => {
                 let record = Record::Started((epoch, attempt));
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -53,19 +53,14 @@
 
     /// Withdraws a job that this owner hasn't taken up: an earlier owner's, or none at all.
     pub(super) fn cancel_unknown(&mut self, key: &id::JobKey, waiter: action::Waiter) {
-        let code = if self.gone.contains_key(key) {
-            code::Code::AnswerGone
-        } else if !self.ready || self.inheritance.knows(key) {
-            // "Not found" would say that nothing of it ran.
+        if self.inheritance.knows(key) {
             for agent in self.fleet.agents().keys() {
                 let order = order::Order::Cancel(key.clone());
                 self.actions.push(Action::Order(agent.clone(), order));
             }
-            code::Code::MayHaveRun
-        } else {
-            code::Code::NotFound
-        };
-        self.refuse(waiter, refusal::Refusal::new(code));
+        }
+        // A successor knows the jobs of the owner before only once they are submitted again.
+        self.refuse(waiter, refusal::Refusal::new(code::Code::JobUnknown));
     }
 
     pub(super) fn refuse(&mut self, waiter: action::Waiter, refusal: refusal::Refusal) {
@@ -98,7 +93,7 @@
             self.actions
                 .push(Action::Order(agent, order::Order::Cancel(key.clone())));
         }
-        let forget = refusal.not_run && refusal.code != code::Code::CancelledBefore;
+        let forget = refusal.not_run;
         self.end(now, key, submission::Ending::Failed(refusal));
         if forget {
             // Nothing ran, so a retry under the same key starts from nothing.
--- a/src/decide/owner/resume.rs
+++ b/src/decide/owner/resume.rs
@@ -32,18 +32,16 @@
         job.waiters.push(waiter);
         let key = submission.key.clone();
         let mut asked: HashMap<id::AgentId, Vec<order::Attempt>> = HashMap::new();
-        let mut gone = false;
-        let mut lost = false;
+        let (mut gone, mut lost) = (false, false);
         for (index, (life, standing)) in &tasks {
             let agent = &life.agent;
             let Some(progress) = job.tasks.get_mut(*index as usize) else {
                 continue;
             };
             gone |= *standing == ledger::Standing::Gone;
-            // The life that reported the task may have ended since. Its successor would say that
-            // it never saw the task, which proves nothing, so it isn't asked.
-            let current = self.fleet.get(agent).map(|agent| agent.incarnation);
-            lost |= current != Some(life.incarnation);
+            // Guards against a life that reported a task and then ended: its successor, which has
+            // never seen the task, would have it started again.
+            lost |= !self.is_alive(life);
             *progress = Progress::Inherited {
                 agent: agent.clone(),
             };
@@ -58,13 +56,14 @@
         let missing = tasks.len() < job.tasks.len();
         self.deadlines.insert((job.deadline, key.clone()));
         self.jobs.insert(key.clone(), job);
-        if gone {
-            self.fail(now, &key, code::Code::AnswerGone);
-            return;
-        }
-        if lost {
+        if gone || lost {
+            let reason = if gone {
+                code::Code::AnswerGone
+            } else {
+                code::Code::WorkerLost
+            };
             self.drop_waiting_as_unknown(&key);
-            self.fail(now, &key, code::Code::WorkerLost);
+            self.fail(now, &key, reason);
             return;
         }
         if missing && !rest_startable {
@@ -81,6 +80,12 @@
         self.enqueue(now, &key);
     }
 
+    /// Tells whether a life of an agent still is the one that this owner uses.
+    fn is_alive(&self, life: &inherit::Life) -> bool {
+        let agent = self.fleet.get(&life.agent);
+        agent.is_some_and(|agent| agent.incarnation == life.incarnation)
+    }
+
     pub(super) fn drop_waiting_as_unknown(&mut self, key: &id::JobKey) {
         let Some(job) = self.jobs.get_mut(key) else {
             return;
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -172,7 +172,7 @@
         if code == code::Code::StaleEpoch {
             return;
         }
-        if code == code::Code::CancelledBefore {
+        if code == code::Code::Cancelled {
             // The job was withdrawn under an owner before; starting it elsewhere would undo that.
             if !self.is_current(refused) {
                 return;
--- a/src/wire/rows.rs
+++ b/src/wire/rows.rs
@@ -95,9 +95,12 @@
 pub struct Agent {
     /// The agent's life.
     pub incarnation: id::Incarnation,
-    /// Where its owner connects (host and port); empty once it has left.
+    /// Where its owner connects (host and port).
     pub addr: CompactString,
-    /// Earlier lives, and this one once it has left.
+    /// Lives that ended with work that nobody else remembers.
     #[serde(default)]
     pub lost: Vec<inherit::LostLife>,
+    /// True once the agent has left as planned; the row stays for the lives that ended.
+    #[serde(default)]
+    pub left: bool,
 }
--- a/tests/model/moves.rs
+++ b/tests/model/moves.rs
@@ -317,7 +317,11 @@
     let lost = |(_, row): (usize, &Row)| row.lost.clone();
     let lost: Vec<_> = present()
         .flat_map(lost)
-        .map(|(incarnation, at_ms)| inherit::LostLife { incarnation, at_ms })
+        .map(|(incarnation, at_ms)| inherit::LostLife {
+            incarnation,
+            at_ms,
+            claimed: false,
+        })
         .collect();
     let lives: Vec<_> = present().map(life).collect();
     feed(w, e, |owner, now| owner.members(now, lives, &lost));
