--- a/src/bench/decisions.rs
+++ b/src/bench/decisions.rs
@@ -265,7 +265,7 @@
     submission::Submission {
         key: format_compact!("{customer}/0190a5b3-7c1d-7e2f-8a3b-{number:012x}"),
         digest: number,
-        minted_ms: Some(1_700_000_100_000),
+        minted_ms: Some(1_700_000_000_000),
         idempotent: true,
         job: submission::Job {
             customer,
