--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -206,9 +206,9 @@
         };
         let unreachable = (self.unaccounted() > 0).then_some(self.taken_at);
         let unclaimed = self.lost.iter().filter(|(_, claimed)| !claimed);
-        let ends = unclaimed.map(|(at, _)| *at).chain(unreachable);
+        let mut ends = unclaimed.map(|(at, _)| *at).chain(unreachable);
         let slack = TABLE_SIGHT + 2 * CLOCK_SKEW;
-        ends.into_iter().any(|end| minted < end + slack)
+        ends.any(|end| minted < end + slack)
     }
 
     /// Tells whether a task of a claim made at that time may have run on a life that is lost.
--- a/src/decide/owner/endings.rs
+++ b/src/decide/owner/endings.rs
@@ -53,20 +53,14 @@
 
     /// Withdraws a job that this owner hasn't taken up: an earlier owner's, or none at all.
     pub(super) fn cancel_unknown(&mut self, key: &id::JobKey, waiter: action::Waiter) {
-        let code = if self.gone.contains_key(key) {
-            code::Code::AnswerGone
-        } else if !self.ready || self.inheritance.knows(key) {
-            // "Not found" would say that nothing of it ran.
+        if self.inheritance.knows(key) {
             for agent in self.fleet.agents().keys() {
                 let order = order::Order::Cancel(key.clone());
                 self.actions.push(Action::Order(agent.clone(), order));
             }
-            code::Code::MayHaveRun
-        } else {
-            // A successor knows the jobs of the owner before only once they are submitted again.
-            code::Code::JobUnknown
-        };
-        self.refuse(waiter, refusal::Refusal::new(code));
+        }
+        // A successor knows the jobs of the owner before only once they are submitted again.
+        self.refuse(waiter, refusal::Refusal::new(code::Code::JobUnknown));
     }
 
     pub(super) fn refuse(&mut self, waiter: action::Waiter, refusal: refusal::Refusal) {
