Doubt new work only until the dead owner's sight of the table ended

Cause: after a takeover with an agent missing, keys minted before the takeover, and for the sight of the table after it, were answered unknown. Where the owner before was watched to write no beat for seconds, its sight, and with it its right to start ahead of claims, ended long before the takeover. Ruled out: counting from the refusal of connections, since an owner that had handed over may still serve for its sight. Change: the entry that watched the beat hands on since when it stood still; a watch is bound to the epoch; an owner's own sight counts from the operation that won the cell, not from its opening.

--- a/src/controller/ownership.rs
+++ b/src/controller/ownership.rs
@@ -15,6 +15,7 @@
 use crate::controller::roll;
 use crate::controller::standing::{State, Suspicion};
 use crate::decide::head;
+use crate::decide::inherit;
 use crate::decide::spread;
 use crate::id;
 use crate::wire::platform::{self, Commit, Condition, Revision, Transaction, Write};
@@ -41,10 +42,25 @@
     pub addr: CompactString,
 }
 
+/// A cell that this entry owns.
+#[derive(Clone, Copy, Debug)]
+pub struct Won {
+    /// The cell.
+    pub cell: id::Cell,
+    /// The epoch of the ownership.
+    pub epoch: id::Epoch,
+    /// The revision of the cell's row.
+    pub revision: Revision,
+    /// When the operation began that showed the ownership.
+    pub begun: time::Instant,
+    /// Until when the owner before may have started work ahead of its claims.
+    pub doubt: time::Instant,
+}
+
 /// What the loop reports.
 pub struct Events {
-    /// The cell is owned by this entry, under this epoch and revision of the cell's row.
-    pub won: Box<dyn Fn(id::Cell, id::Epoch, Revision) + Send + Sync>,
+    /// A cell is owned by this entry.
+    pub won: Box<dyn Fn(Won) + Send + Sync>,
     /// The cell is owned by another entry.
     pub other: Box<dyn Fn(id::Cell, &rows::Owner) + Send + Sync>,
     /// The owner was seen in the table by an operation that began at the time given.
@@ -311,7 +327,15 @@
         };
         let mine = owner.entry == self.candidate.entry;
         if mine && owner.incarnation == self.candidate.incarnation {
-            self.own(cell, owner.epoch, revision);
+            let now = time::Instant::now();
+            self.own(Won {
+                cell,
+                epoch: owner.epoch,
+                revision,
+                // A lost answer hides when the cell was won, so nothing is known of its sight.
+                begun: now.checked_sub(inherit::TABLE_SIGHT).unwrap_or(now),
+                doubt: now + inherit::TABLE_SIGHT,
+            });
             return false;
         }
         self.change(cell, |state| state.owned = None);
@@ -345,10 +369,12 @@
         };
         let revision = row.map_or(0, |row| row.revision);
         match state.beat_seen {
-            Some((seen, since)) if seen == revision => since.elapsed() >= SILENCE,
+            Some((of, seen, since)) if (of, seen) == (epoch, revision) => {
+                since.elapsed() >= SILENCE
+            }
             _ => {
                 let now = time::Instant::now();
-                self.change(cell, |state| state.beat_seen = Some((revision, now)));
+                self.change(cell, |state| state.beat_seen = Some((epoch, revision, now)));
                 false
             }
         }
@@ -369,11 +395,19 @@
         };
         let value = serde_json::to_string(&owner).unwrap_or_default();
         let tx = Transaction::put_if(&rows::cell(cell), revision, value);
+        let begun = time::Instant::now();
         match (self.table.commit)(tx).await {
             Ok(Commit::Done(revision)) => {
+                let doubt = self.doubt(cell, epoch);
                 self.moves.lock().expect("the ownership is whole").taken =
                     Some(time::Instant::now());
-                self.own(cell, epoch + 1, revision);
+                self.own(Won {
+                    cell,
+                    epoch: epoch + 1,
+                    revision,
+                    begun,
+                    doubt,
+                });
                 true
             }
             // Somebody else was quicker, or the answer was lost: the next look tells.
@@ -384,17 +418,31 @@
         }
     }
 
-    fn own(&self, cell: id::Cell, epoch: id::Epoch, revision: Revision) {
-        let news = self.change(cell, |state| {
-            let news = state.owned != Some((epoch, revision));
-            state.owned = Some((epoch, revision));
+    /// Until when the owner before, of `epoch`, may have started work ahead of its claims.
+    ///
+    /// It does so only while its last proof of ownership is younger than [`inherit::TABLE_SIGHT`],
+    /// and every proof changes its beat. Where the beat was watched and stood still, that time
+    /// counts from when the watch began, and not from the takeover.
+    fn doubt(&self, cell: id::Cell, epoch: id::Epoch) -> time::Instant {
+        let since = match self.change(cell, |state| state.beat_seen) {
+            Some((of, _, since)) if of == epoch && since.elapsed() >= SILENCE => since,
+            Some(_) | None => time::Instant::now(),
+        };
+        since + inherit::TABLE_SIGHT
+    }
+
+    fn own(&self, won: Won) {
+        let owned = (won.epoch, won.revision);
+        let news = self.change(won.cell, |state| {
+            let news = state.owned != Some(owned);
+            state.owned = Some(owned);
             state.suspicion = None;
             state.beat_seen = None;
             state.vacant = None;
             news
         });
         if news {
-            (self.events.won)(cell, epoch, revision);
+            (self.events.won)(won);
         }
     }
 
--- a/src/controller/standing.rs
+++ b/src/controller/standing.rs
@@ -29,8 +29,8 @@
     pub proved: Option<time::Instant>,
     /// What is suspected of the owner of which epoch.
     pub suspicion: Option<(id::Epoch, Suspicion)>,
-    /// The beat's revision as last seen, and since when.
-    pub beat_seen: Option<(Revision, time::Instant)>,
+    /// The beat of the owner of which epoch as last seen, and since when it has not changed.
+    pub beat_seen: Option<(id::Epoch, Revision, time::Instant)>,
     /// Whether this entry takes it no more.
     pub resigned: bool,
     /// Since when the cell has been seen without an owner.
--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -80,6 +80,7 @@
 #[derive(Clone, Debug)]
 pub struct Inheritance {
     taken_at: time::Duration,
+    doubt_until: time::Duration,
     give_up: time::Instant,
     awaited: Option<BTreeSet<Life>>,
     lost: Vec<(time::Duration, bool)>,
@@ -92,6 +93,7 @@
     pub fn open(now: time::Instant, wall: time::Duration) -> Inheritance {
         Inheritance {
             taken_at: wall,
+            doubt_until: wall + TABLE_SIGHT,
             give_up: now + PATIENCE,
             awaited: None,
             lost: Vec::new(),
@@ -100,6 +102,12 @@
         }
     }
 
+    /// Notes until when the owner before may have started work ahead of its claims, where that is
+    /// known better than by [`TABLE_SIGHT`] after the takeover.
+    pub fn doubt_until(&mut self, wall: time::Duration) {
+        self.doubt_until = wall;
+    }
+
     /// Takes the members, read after the epoch was raised, and the lives that were lost before.
     pub fn members(
         &mut self,
@@ -174,12 +182,12 @@
     ///
     /// Only keys that tell their age are started ahead of their claims, and only by an owner that
     /// saw itself in the table within [`TABLE_SIGHT`]. So a key that was minted long enough after
-    /// the takeover can't have been, and neither can one whose starts every agent would remember.
+    /// its sight ended can't have been, and neither can one whose starts every agent would remember.
     fn may_be_unwritten(&self, minted: Option<time::Duration>) -> bool {
         let Some(minted) = minted else {
             return false;
         };
-        let safe = self.taken_at + TABLE_SIGHT + 2 * CLOCK_SKEW;
+        let safe = self.doubt_until + 2 * CLOCK_SKEW;
         let window = TABLE_SIGHT + 2 * CLOCK_SKEW;
         let recent = |(at, claimed): &(_, bool)| !claimed && *at + window > self.taken_at;
         let recently_lost = self.lost.iter().any(recent);
--- a/src/decide/owner/mod.rs
+++ b/src/decide/owner/mod.rs
@@ -109,6 +109,16 @@
         }
     }
 
+    /// Notes when the operation began that showed the ownership, and until when, since the Unix
+    /// epoch, the owner before may have started work ahead of its claims.
+    ///
+    /// Guards against a pause between winning the cell and opening its owner: what was seen before
+    /// the pause proves nothing after it.
+    pub fn took_over(&mut self, begun: time::Instant, doubt: time::Duration) {
+        self.table_seen = begun;
+        self.inheritance.doubt_until(doubt);
+    }
+
     /// The epoch.
     pub fn epoch(&self) -> id::Epoch {
         self.epoch
--- a/src/demo/fault.rs
+++ b/src/demo/fault.rs
@@ -130,7 +130,7 @@
     /// The running parts.
     pub cluster: Mutex<Cluster>,
     /// What befalls the table.
-    pub table: Table,
+    pub table: Arc<Table>,
     /// Callers and operators.
     pub caller: Caller,
     /// Sizes and customers.
@@ -143,11 +143,11 @@
 
 /// Puts the scene's table faults before the stand-in platform.
 pub async fn arm(scene: &Arc<Scene>) {
-    let armed = scene.clone();
+    let table = scene.table.clone();
     let cluster = scene.cluster.lock().await;
     cluster
         .platform
-        .fail(Arc::new(move |operation| armed.table.befall(operation)));
+        .fail(Arc::new(move |operation| table.befall(operation)));
 }
 
 /// Injects a fault and returns once it is over.
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -85,7 +85,7 @@
     let outage = cfg.duration.mul_f64(OUTAGE);
     let scene = Arc::new(fault::Scene {
         cluster: Mutex::new(cluster),
-        table: fault::Table::default(),
+        table: Arc::default(),
         caller: caller.clone(),
         deployment: cfg.deployment.clone(),
         outage: outage.clamp(MIN_OUTAGE, MAX_OUTAGE),
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -49,6 +49,10 @@
     pub epoch: id::Epoch,
     /// The revision of the cell's row.
     pub revision: platform::Revision,
+    /// When the operation began that showed the ownership.
+    pub begun: time::Instant,
+    /// Until when the owner before may have started work ahead of its claims.
+    pub doubt: time::Instant,
     /// This entry.
     pub entry: id::EntryId,
     /// The platform's table.
@@ -84,7 +88,10 @@
 pub fn spawn(scope: Scope) -> Arc<Cell> {
     let now = time::Instant::now();
     let wall = clock::since_epoch();
-    let owner = owner::Owner::open(scope.epoch, scope.policy, scope.config.clone(), now, wall);
+    let mut owner = owner::Owner::open(scope.epoch, scope.policy, scope.config.clone(), now, wall);
+    let ahead = scope.doubt.saturating_duration_since(now);
+    let behind = now.saturating_duration_since(scope.doubt);
+    owner.took_over(scope.begun, (wall + ahead).saturating_sub(behind));
     let (tx, rx) = mpsc::unbounded_channel();
     let spans = spans::Owner {
         entry: scope.entry.clone(),
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -242,7 +242,8 @@
     }
 
     /// Takes up a cell that this entry has won.
-    pub fn won(self: &Arc<Self>, cell: id::Cell, epoch: id::Epoch, revision: platform::Revision) {
+    pub fn won(self: &Arc<Self>, won: ownership::Won) {
+        let (cell, epoch) = (won.cell, won.epoch);
         let Some(config) = self.config.get() else {
             // Without a configuration nothing may be served. Forgetting the ownership makes the
             // look after the first configuration report it again.
@@ -255,7 +256,9 @@
         let owner = cell::spawn(cell::Scope {
             cell,
             epoch,
-            revision,
+            revision: won.revision,
+            begun: won.begun,
+            doubt: won.doubt,
             entry: self.cfg.id.clone(),
             table: self.platform.table.clone(),
             messages: self.messages.clone(),
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -65,9 +65,9 @@
     let (won, other, seen) = (core.clone(), core.clone(), core.clone());
     let head = core.clone();
     ownership::Events {
-        won: Box::new(move |cell, epoch, revision| {
+        won: Box::new(move |cell| {
             if let Some(core) = won.upgrade() {
-                core.won(cell, epoch, revision);
+                core.won(cell);
             }
         }),
         other: Box::new(move |cell, owner| {
