--- a/src/demo/pairs.rs
+++ b/src/demo/pairs.rs
@@ -1,8 +1,10 @@
 //! Every fault alone and every pair of two, one short run each.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
 
 use crate::demo::fault::{self, Fault};
 use crate::demo::report::Report;
@@ -38,7 +40,8 @@
     mut each: impl FnMut(&Report),
 ) -> anyhow::Result<u64> {
     let room = Arc::new(Semaphore::new(at_once.max(1)));
-    let mut runs = Vec::new();
+    let mut runs = VecDeque::new();
+    let mut violations = 0;
     for (number, faults) in combinations(&cfg.faults).into_iter().enumerate() {
         let cfg = Config {
             faults,
@@ -46,21 +49,34 @@
             progress: false,
             ..cfg.clone()
         };
-        let room = room.clone();
-        runs.push(tokio::spawn(async move {
-            let _place = room.acquire_owned().await?;
-            demo::run(cfg).await
+        let place = room.clone().acquire_owned().await?;
+        runs.push_back(tokio::spawn(async move {
+            let report = demo::run(cfg).await;
+            drop(place);
+            report
         }));
+        while runs.front().is_some_and(JoinHandle::is_finished) {
+            violations += take(&mut runs, &mut each).await?;
+        }
     }
-    let mut violations = 0;
-    for run in runs {
-        let report = run.await??;
-        violations += report.violations();
-        each(&report);
+    while !runs.is_empty() {
+        violations += take(&mut runs, &mut each).await?;
     }
     Ok(violations)
 }
 
+type Runs = VecDeque<JoinHandle<anyhow::Result<Report>>>;
+
+/// Takes the first run's report; returns its violations.
+async fn take(runs: &mut Runs, each: &mut impl FnMut(&Report)) -> anyhow::Result<u64> {
+    let Some(run) = runs.pop_front() else {
+        return Ok(0);
+    };
+    let report = run.await??;
+    each(&report);
+    Ok(report.violations())
+}
+
 /// One row of the table.
 pub fn row(report: &Report) -> String {
     let names: Vec<String> = report.faults.iter().map(|fault| fault.name()).collect();
