Hold what a lost life may have run against the life's own loss

Where owner and agent are lost together nobody writes the claims any more, and a takeover that comes later (its first successor was paused) took the key for new and started it again. Ruled out: the fence, the members' reports and the claims' own times. Change: a key is doubtful if it was minted before the loss was recorded, however long ago that is; what was minted after can't have run there.

--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -188,9 +188,11 @@
             return false;
         };
         let safe = self.doubt_until + 2 * CLOCK_SKEW;
-        let window = TABLE_SIGHT + 2 * CLOCK_SKEW;
-        let recent = |(at, claimed): &(_, bool)| !claimed && *at + window > self.taken_at;
-        let recently_lost = self.lost.iter().any(recent);
+        // Guards against a life that was lost together with the owner, long before this takeover:
+        // nobody was left to write the claims of what it had started. What was minted after its
+        // loss can't have run there.
+        let ran_there = |(at, claimed): &(_, bool)| !claimed && *at + 2 * CLOCK_SKEW > minted;
+        let recently_lost = self.lost.iter().any(ran_there);
         minted < safe && (self.unaccounted() > 0 || recently_lost)
     }
 
--- a/tests/fault_doubt.rs
+++ b/tests/fault_doubt.rs
@@ -45,3 +45,24 @@
     let minted = doubt + 2 * inherit::CLOCK_SKEW - time::Duration::from_millis(1);
     assert_eq!(look(&inheritance, minted), Found::MayHaveRun);
 }
+
+/// An owner and an agent are lost together, before the claim of a running job is written. The agent
+/// comes back with a new life, and only seconds later another entry takes over, since it was paused.
+/// The old life's loss then counted as long past, and the job that was submitted again ran twice.
+#[test]
+fn work_that_a_life_lost_long_before_the_takeover_may_have_run_is_doubtful() {
+    let now = time::Instant::now();
+    let mut inheritance = Inheritance::open(now, TAKEN_AT);
+    let lost = TAKEN_AT - time::Duration::from_secs(8);
+    let life = inherit::LostLife {
+        incarnation: 1,
+        at_ms: lost.as_millis() as u64,
+        claimed: false,
+    };
+    inheritance.members(now, Vec::new(), &[life]);
+    inheritance.claims(Vec::new());
+    let before = lost - time::Duration::from_secs(1);
+    assert_eq!(look(&inheritance, before), Found::MayHaveRun);
+    let after = lost + 2 * inherit::CLOCK_SKEW;
+    assert_eq!(look(&inheritance, after), Found::Fresh);
+}
