--- a/src/decide/inherit.rs
+++ b/src/decide/inherit.rs
@@ -97,6 +97,7 @@
 #[derive(Clone, Debug)]
 pub struct Inheritance {
     taken_at: time::Duration,
+    doubt_until: time::Duration,
     give_up: time::Instant,
     awaited: Option<BTreeSet<Life>>,
     lost: Vec<(time::Duration, bool)>,
@@ -109,6 +110,7 @@
     pub fn open(now: time::Instant, wall: time::Duration) -> Inheritance {
         Inheritance {
             taken_at: wall,
+            doubt_until: wall + TABLE_SIGHT,
             give_up: now + PATIENCE,
             awaited: None,
             lost: Vec::new(),
@@ -117,6 +119,12 @@
         }
     }
 
+    /// Notes until when the owner before may have started work ahead of its claims, where that is
+    /// known better than by [`TABLE_SIGHT`] after the takeover.
+    pub fn doubt_until(&mut self, wall: time::Duration) {
+        self.doubt_until = wall;
+    }
+
     /// Takes the members, read after the epoch was raised, and the lives that were lost before.
     pub fn members(
         &mut self,
@@ -197,13 +205,17 @@
     ///
     /// An owner starts ahead of the claim only keys that were minted at most [`TABLE_SIGHT`] after
     /// its last sight of the table, which came before this takeover, and before the end of every
-    /// life that it used. So only a key that is not younger than a life which can't report may
-    /// have run on it. Nothing here depends on the caller's clock: the key is compared with the
-    /// clocks of entries and agents alone, on both sides.
+    /// life that it used. So a key that was minted long enough after its sight ended can't have
+    /// been, nor one that is younger than every life which can't report. Nothing here depends on
+    /// the caller's clock: the key is compared with the clocks of entries and agents alone, on both
+    /// sides, and those are taken to agree within [`CLOCK_SKEW`].
     fn may_be_unwritten(&self, minted: Option<time::Duration>) -> bool {
         let Some(minted) = minted else {
             return false;
         };
+        if minted >= self.doubt_until + 2 * CLOCK_SKEW {
+            return false;
+        }
         let unreachable = (self.unaccounted() > 0).then_some(self.taken_at);
         let unclaimed = self.lost.iter().filter(|(_, claimed)| !claimed);
         let mut ends = unclaimed.map(|(at, _)| *at).chain(unreachable);
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -60,7 +60,10 @@
 pub fn spawn(scope: Scope) -> Arc<Cell> {
     let now = time::Instant::now();
     let wall = clock::since_epoch();
-    let owner = owner::Owner::open(scope.epoch, scope.policy, scope.config.clone(), now, wall);
+    let mut owner = owner::Owner::open(scope.epoch, scope.policy, scope.config.clone(), now, wall);
+    let ahead = scope.doubt.saturating_duration_since(now);
+    let behind = now.saturating_duration_since(scope.doubt);
+    owner.took_over(scope.begun, (wall + ahead).saturating_sub(behind));
     let (tx, rx) = mpsc::unbounded_channel();
     let spans = spans::Owner {
         entry: scope.entry.clone(),
--- a/src/entry/scope.rs
+++ b/src/entry/scope.rs
@@ -17,6 +17,10 @@
     pub epoch: id::Epoch,
     /// The revision of the cell's row.
     pub revision: platform::Revision,
+    /// When the operation began that showed the ownership.
+    pub begun: time::Instant,
+    /// Until when the owner before may have started work ahead of its claims.
+    pub doubt: time::Instant,
     /// This entry.
     pub entry: id::EntryId,
     /// The platform's table.
--- a/tests/claims_ownership.rs
+++ b/tests/claims_ownership.rs
@@ -3,13 +3,18 @@
 mod support;
 
 use std::sync::{Arc, Mutex};
+use std::time;
 
 use lovagemill::controller::ownership;
+use lovagemill::controller::standing::Suspicion;
+use lovagemill::decide::inherit;
 use lovagemill::id;
+use lovagemill::wire::platform::{self, Transaction};
+use lovagemill::wire::rows;
 use support::memory::{Fault, Memory, Operation};
 use tokio::sync::mpsc;
 
-type Wins = mpsc::UnboundedReceiver<id::Epoch>;
+type Wins = mpsc::UnboundedReceiver<ownership::Won>;
 
 /// One entry over a platform whose next write meets the fault given.
 fn open(memory: &Memory) -> (Arc<ownership::Ownership>, Wins, Arc<Mutex<Fault>>) {
@@ -19,6 +24,11 @@
         Operation::Write => std::mem::replace(&mut injected.lock().unwrap(), Fault::None),
         Operation::Read => Fault::None,
     }));
+    let (ownership, wins) = open_over(platform);
+    (ownership, wins, next)
+}
+
+fn open_over(platform: platform::Platform) -> (Arc<ownership::Ownership>, Wins) {
     let candidate = ownership::Candidate {
         entry: "entry-0".into(),
         incarnation: 1,
@@ -26,20 +36,23 @@
     };
     let (tx, wins) = mpsc::unbounded_channel();
     let events = ownership::Events {
-        won: Box::new(move |_, epoch, _| {
-            let _ = tx.send(epoch);
+        won: Box::new(move |won| {
+            let _ = tx.send(won);
         }),
         other: Box::new(|_, _| {}),
         seen: Box::new(|_, _| {}),
         head: Box::new(|_| {}),
     };
-    let ownership = ownership::open(platform.table, candidate, 1, events);
-    (ownership, wins, next)
+    (ownership::open(platform.table, candidate, 1, events), wins)
+}
+
+async fn next_win(wins: &mut Wins) -> ownership::Won {
+    let won = tokio::time::timeout(support::HANG, wins.recv()).await;
+    won.expect("it doesn't hang").expect("the loop runs")
 }
 
 async fn next(wins: &mut Wins) -> id::Epoch {
-    let epoch = tokio::time::timeout(support::HANG, wins.recv()).await;
-    epoch.expect("it doesn't hang").expect("the loop runs")
+    next_win(wins).await.epoch
 }
 
 /// An entry takes a vacant cell and the table's answer is lost. Repeated blindly, the write would
@@ -72,3 +85,46 @@
     assert_eq!(next(&mut wins).await, 2);
     running.abort();
 }
+
+/// An owner is silent for so long that another entry takes its cell, but wakes and proves its
+/// ownership once more between the other's last look and its write. It goes on to start work ahead
+/// of its claims; the successor counted its doubt from before that proof, took such a key for
+/// fresh, and started it a second time.
+#[tokio::test]
+async fn a_beat_in_the_last_moment_is_not_overlooked() {
+    let memory = Memory::open();
+    let silent = rows::Owner {
+        entry: "entry-1".into(),
+        incarnation: 7,
+        addr: "127.0.0.1:2".into(),
+        epoch: 5,
+    };
+    let value = serde_json::to_string(&silent).unwrap();
+    let first = Transaction::put(&rows::cell(0), value);
+    memory.store.lock().unwrap().commit(&first);
+    let beat = Transaction::put(&rows::beat(0), "[5,1]".to_owned());
+    memory.store.lock().unwrap().commit(&beat);
+
+    let woke = Arc::new(Mutex::new(None));
+    let (waking, store) = (woke.clone(), memory.store.clone());
+    let platform = memory.failing(Box::new(move |operation| {
+        let mut woke = waking.lock().unwrap();
+        if operation == Operation::Write && woke.is_none() {
+            let beat = Transaction::put(&rows::beat(0), "[5,2]".to_owned());
+            store.lock().unwrap().commit(&beat);
+            *woke = Some(time::Instant::now());
+        }
+        Fault::None
+    }));
+    let (ownership, mut wins) = open_over(platform);
+    ownership.suspect(0, 5, Suspicion::Silent);
+    let running = tokio::spawn(ownership.run());
+    let won = next_win(&mut wins).await;
+    running.abort();
+    let woke = woke.lock().unwrap().expect("the owner woke");
+    assert_eq!(won.epoch, 6);
+    assert!(
+        won.doubt >= woke + inherit::TABLE_SIGHT,
+        "doubt ends too soon"
+    );
+}
