Read a cell's row once at a look, and give the tests one switch for a platform that goes away

Cause: found on reading the whole change again. A look at a vacant cell read the same row's JSON twice, and two tests of the configuration each built the same switch. Change: one read serves both; one function in the test file. No behaviour and no assertion changed.

--- a/src/controller/ownership/takeover.rs
+++ b/src/controller/ownership/takeover.rs
@@ -89,14 +89,9 @@
     ) -> bool {
         let revision = row.map_or(0, |row| row.revision);
         let owner = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
+        let epoch = owner.as_ref().map_or(0, |owner| owner.epoch);
         let Some(owner) = owner.filter(|owner| !owner.entry.is_empty()) else {
-            let epoch = row.and_then(|row| serde_json::from_str::<rows::Owner>(&row.value).ok());
-            if !self.has_waited(cell, holdings) {
-                return false;
-            }
-            return self
-                .take(cell, revision, epoch.map_or(0, |owner| owner.epoch))
-                .await;
+            return self.has_waited(cell, holdings) && self.take(cell, revision, epoch).await;
         };
         let mine = owner.entry == self.candidate.entry;
         if mine && owner.incarnation == self.candidate.incarnation {
--- a/tests/config_force.rs
+++ b/tests/config_force.rs
@@ -37,6 +37,20 @@
     serde_json::from_str(&row.value).unwrap()
 }
 
+/// A platform, and the switch that takes it away.
+fn cuttable(memory: &Memory) -> (Arc<AtomicBool>, platform::Platform) {
+    let cut: Arc<AtomicBool> = Arc::default();
+    let cutting = cut.clone();
+    let faults = move |_| {
+        if cutting.load(Ordering::SeqCst) {
+            Fault::Down
+        } else {
+            Fault::None
+        }
+    };
+    (cut, memory.failing(Box::new(faults)))
+}
+
 /// A target that was accepted is gone, though nobody changed it back.
 /// Operators change the same version at once, and some of the table's answers are lost after the
 /// write took effect. An answer that says "accepted" has to be true, and of one version only once.
@@ -241,16 +255,8 @@
         path::configure(&memory);
         let first = open("entry-0", memory.platform()).await;
         support::until("an owner", || first.owns_any()).await;
-        let cut: Arc<AtomicBool> = Arc::default();
-        let cutting = cut.clone();
-        let faults = move |_| {
-            if cutting.load(Ordering::SeqCst) {
-                Fault::Down
-            } else {
-                Fault::None
-            }
-        };
-        let second = open("entry-1", memory.failing(Box::new(faults))).await;
+        let (cut, platform) = cuttable(&memory);
+        let second = open("entry-1", platform).await;
         support::until("the second is ready", || second.is_ready()).await;
         cut.store(true, Ordering::SeqCst);
         assert_eq!(change(&first, 1, 700).await["version"], 2);
@@ -289,16 +295,8 @@
     support::block_on(async {
         let memory = Memory::open();
         path::configure(&memory);
-        let cut: Arc<AtomicBool> = Arc::default();
-        let cutting = cut.clone();
-        let faults = move |_| {
-            if cutting.load(Ordering::SeqCst) {
-                Fault::Down
-            } else {
-                Fault::None
-            }
-        };
-        let owner = open("entry-0", memory.failing(Box::new(faults))).await;
+        let (cut, platform) = cuttable(&memory);
+        let owner = open("entry-0", platform).await;
         support::until("an owner", || owner.owns_any()).await;
         let second = open("entry-1", memory.platform()).await;
         support::until("the second is ready", || second.is_ready()).await;
