--- /dev/null
+++ b/src/besteffort/agent.rs
@@ -0,0 +1,478 @@
+//! An agent for best-effort work: links to the entries on one side, a backend server on the other.
+//!
+//! What may run is decided by [`Slots`]; this part carries orders out and words across. All runs on
+//! one thread: the small machines beside backend servers have a fraction of one core.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use compact_str::CompactString;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+
+use crate::besteffort::line;
+use crate::clock;
+use crate::decide::besteffort::lease::{self, Lease};
+use crate::decide::besteffort::message::{Backend, EntryName, FromAgent, FromEntry, Run};
+use crate::decide::besteffort::slots::{Listing, Order, Slots, StartAnswer};
+use crate::id;
+
+/// How often time bounds are looked at; small against the shortest of them (40 ms).
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// The same while nothing is held.
+const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
+
+/// How long a listing may wait for an end; bounds the age of the lease and of the progress.
+const LISTING_WAIT: time::Duration = time::Duration::from_millis(150);
+
+/// How long past that a listing's answer may take before it counts as lost.
+const LISTING_SLACK: time::Duration = time::Duration::from_millis(200);
+
+/// Age of the last confirmed renewal at which one more is sent on its own; the listing that should
+/// have brought it is late.
+const RENEW_AGAIN: time::Duration = time::Duration::from_millis(260);
+
+/// Pause after a listing that failed.
+const LISTING_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Silence of the backend server after which nothing new is sent to it.
+const UNREACHED: time::Duration = time::Duration::from_millis(450);
+
+/// Longest that a connect to an entry may take; several round trips between failure domains.
+const CONNECT: time::Duration = time::Duration::from_millis(500);
+
+/// Pause before the next connect to an entry.
+const RECONNECT: time::Duration = time::Duration::from_millis(150);
+
+/// A boxed future, as the closures of [`BackendServer`] return it.
+pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// What a listing brings.
+#[derive(Debug)]
+pub struct Listed {
+    /// The backend server's clock, in milliseconds.
+    pub clock_ms: u64,
+    /// What it has.
+    pub listing: Listing,
+}
+
+/// Why a listing brought nothing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoListing {
+    /// No answer; nobody can tell what the backend server did.
+    Silent,
+    /// Another life of the backend server answered: what was started before has ended.
+    AnotherLife,
+}
+
+/// How the agent speaks to the backend server beside it.
+pub struct BackendServer {
+    /// Starts a run under a lease that ends at the given time of the backend server's clock.
+    #[allow(clippy::type_complexity)]
+    pub start:
+        Box<dyn Fn(CompactString, Run, CompactString, u64) -> Answer<StartAnswer> + Send + Sync>,
+    /// Stops a run, or makes sure that it never begins; true once that is certain.
+    pub stop: Box<dyn Fn(CompactString, Run) -> Answer<bool> + Send + Sync>,
+    /// Lists what it has, renewing the lease where a time is given; waits for an end at most so
+    /// long. The first argument is the life that is meant, empty for any.
+    #[allow(clippy::type_complexity)]
+    pub list: Box<
+        dyn Fn(CompactString, Option<u64>, time::Duration) -> Answer<Result<Listed, NoListing>>
+            + Send
+            + Sync,
+    >,
+}
+
+/// Who an agent is.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: id::AgentId,
+    /// Which life of it.
+    pub life: id::Incarnation,
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+}
+
+struct Inner {
+    cfg: Config,
+    server: BackendServer,
+    slots: Mutex<Slots>,
+    lease: Mutex<Lease>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+    /// Wakes the listing loop when work begins after a quiet time.
+    work: Notify,
+    /// Whether nothing runs any more that an earlier life of the agent had started. Before that the
+    /// lease isn't renewed, and no entry is told that nothing runs here.
+    clean: AtomicBool,
+}
+
+struct Link {
+    task: JoinHandle<()>,
+    news: Arc<Notify>,
+    name: Option<EntryName>,
+    hungry: bool,
+    free_told: crate::decide::besteffort::message::Room,
+}
+
+/// A running agent.
+#[derive(Clone)]
+pub struct Agent {
+    inner: Arc<Inner>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts an agent that has no links yet. It first ends whatever an earlier life left running.
+pub fn spawn(cfg: Config, server: BackendServer) -> Agent {
+    let inner = Arc::new(Inner {
+        cfg,
+        server,
+        slots: Mutex::default(),
+        lease: Mutex::default(),
+        links: Mutex::default(),
+        work: Notify::new(),
+        clean: AtomicBool::new(false),
+    });
+    tokio::spawn(watch(inner.clone()));
+    tokio::spawn(tick(inner.clone()));
+    Agent { inner }
+}
+
+impl Agent {
+    /// The backend server has announced itself.
+    pub fn announced(&self, backend: Backend) {
+        let now = clock::since_boot();
+        lock(&self.inner.slots).announced(now, backend);
+        flush(&self.inner);
+        tell_all(&self.inner);
+    }
+
+    /// The backend server has left, all of it.
+    pub fn left(&self, instance: &str) {
+        lock(&self.inner.slots).left(clock::since_boot(), instance);
+        flush(&self.inner);
+        tell_all(&self.inner);
+    }
+
+    /// Says where the entries are. Links to new addresses are opened; those to others are closed.
+    pub fn entries(&self, addrs: &[SocketAddr]) {
+        let mut links = lock(&self.inner.links);
+        links.retain(|addr, link| {
+            // A link that is up proves more than a list that may be stale.
+            let stays = addrs.contains(addr) || link.name.is_some();
+            if !stays {
+                log::info!(entry_addr = addr.to_string().as_str(); "entry is listed no more");
+                link.task.abort();
+            }
+            stays
+        });
+        for addr in addrs {
+            let inner = self.inner.clone();
+            let addr = *addr;
+            links.entry(addr).or_insert_with(|| {
+                let news = Arc::new(Notify::new());
+                Link {
+                    task: tokio::spawn(keep_link(inner, addr, news.clone())),
+                    news,
+                    name: None,
+                    hungry: false,
+                    free_told: Default::default(),
+                }
+            });
+        }
+    }
+
+    /// Takes no new work, lets what runs end, `longest` at most, and ends the rest.
+    pub async fn stop(&self, longest: time::Duration) {
+        lock(&self.inner.slots).stop(clock::since_boot());
+        flush(&self.inner);
+        tell_all(&self.inner);
+        let idle = async {
+            while !lock(&self.inner.slots).is_idle() {
+                sleep(TICK).await;
+            }
+        };
+        if timeout(longest, idle).await.is_err() {
+            log::warn!("stopping with runs left; they are ended");
+            lock(&self.inner.slots).stop_all(clock::since_boot());
+            flush(&self.inner);
+            sleep(2 * lease::STOP).await;
+        }
+        // The last ends leave with the next line.
+        sleep(TICK).await;
+    }
+
+    /// Runs held at the moment, and the room that is left.
+    pub fn load(&self) -> (bool, crate::decide::besteffort::message::Room) {
+        let slots = lock(&self.inner.slots);
+        (slots.is_working(), slots.free())
+    }
+}
+
+async fn tick(inner: Arc<Inner>) {
+    let mut last = clock::since_boot();
+    let lapsed = last + lease::lapse();
+    loop {
+        let idle = lock(&inner.slots).is_idle();
+        sleep(if idle { IDLE_TICK } else { TICK }).await;
+        let now = clock::since_boot();
+        if now - last > lease::SILENCE {
+            log::warn!(ms = (now - last).as_millis() as u64; "this process stood still");
+        }
+        last = now;
+        if now > lapsed {
+            inner.clean.store(true, Ordering::Relaxed);
+        }
+        renew_if_late(&inner, now);
+        let over = lock(&inner.lease).lapsed(now);
+        let silent = lock(&inner.lease).silent(now, UNREACHED);
+        {
+            let mut slots = lock(&inner.slots);
+            if silent {
+                slots.reach(now, false);
+            }
+            if over && slots.is_working() {
+                slots.lost(now, "the lease ran out");
+            }
+            slots.tick(now);
+        }
+        flush(&inner);
+        tell_news(&inner);
+    }
+}
+
+fn renew_if_late(inner: &Arc<Inner>, now: time::Duration) {
+    let working = lock(&inner.slots).is_working();
+    if working && lock(&inner.lease).overdue(now, RENEW_AGAIN) {
+        let inner = inner.clone();
+        tokio::spawn(async move {
+            let _ = list_once(&inner, time::Duration::ZERO).await;
+        });
+    }
+}
+
+/// Keeps a listing waiting at the backend server, so that ends are heard at once and the lease is
+/// renewed.
+async fn watch(inner: Arc<Inner>) {
+    loop {
+        if !list_once(&inner, LISTING_WAIT).await {
+            sleep(LISTING_PAUSE).await;
+        }
+        if lock(&inner.slots).is_idle() {
+            let _ = timeout(LISTING_WAIT, inner.work.notified()).await;
+        }
+    }
+}
+
+async fn list_once(inner: &Arc<Inner>, wait: time::Duration) -> bool {
+    let sent = clock::since_boot();
+    let instance = lock(&inner.slots).instance();
+    let clean = inner.clean.load(Ordering::Relaxed);
+    let until = clean.then(|| lock(&inner.lease).renew(sent)).flatten();
+    let call = (inner.server.list)(instance, until, wait);
+    let answer = timeout(wait + LISTING_SLACK, call).await;
+    let now = clock::since_boot();
+    let listed = match answer {
+        Ok(Ok(listed)) => listed,
+        Ok(Err(NoListing::AnotherLife)) => {
+            lock(&inner.slots).lost(now, "the backend server has another life");
+            return false;
+        }
+        Ok(Err(NoListing::Silent)) | Err(_) => return false,
+    };
+    lock(&inner.lease).heard(sent, now, listed.clock_ms);
+    {
+        let mut slots = lock(&inner.slots);
+        slots.reach(now, true);
+        if listed.listing.running.is_empty() {
+            inner.clean.store(true, Ordering::Relaxed);
+        }
+        slots.listed(now, sent, listed.listing);
+    }
+    flush(inner);
+    tell_news(inner);
+    true
+}
+
+/// Carries out what the slots ask for.
+fn flush(inner: &Arc<Inner>) {
+    let orders = lock(&inner.slots).orders();
+    for order in orders {
+        let inner = inner.clone();
+        match order {
+            Order::Start(run, input) => {
+                tokio::spawn(start(inner, run, input));
+            }
+            Order::Stop(run) => {
+                tokio::spawn(stop(inner, run));
+            }
+        }
+    }
+}
+
+async fn start(inner: Arc<Inner>, run: Run, input: CompactString) {
+    let instance = lock(&inner.slots).instance();
+    let until = lock(&inner.lease).renew(clock::since_boot());
+    let answer = match until {
+        Some(until) => (inner.server.start)(instance, run.clone(), input, until).await,
+        // Without a lease nothing was sent.
+        None => StartAnswer::Refused,
+    };
+    lock(&inner.slots).answered(clock::since_boot(), &run, answer);
+    inner.work.notify_one();
+    flush(&inner);
+    tell_news(&inner);
+}
+
+async fn stop(inner: Arc<Inner>, run: Run) {
+    let instance = lock(&inner.slots).instance();
+    if (inner.server.stop)(instance, run.clone()).await {
+        lock(&inner.slots).stop_answered(clock::since_boot(), &run);
+        inner.work.notify_one();
+    }
+}
+
+fn tell_news(inner: &Inner) {
+    let slots = lock(&inner.slots);
+    let free = slots.free();
+    for link in lock(&inner.links).values() {
+        let Some(name) = &link.name else {
+            continue;
+        };
+        if slots.has_news(name) || (link.hungry && free != link.free_told) {
+            link.news.notify_one();
+        }
+    }
+}
+
+fn tell_all(inner: &Inner) {
+    for link in lock(&inner.links).values() {
+        link.news.notify_one();
+    }
+}
+
+async fn keep_link(inner: Arc<Inner>, addr: SocketAddr, news: Arc<Notify>) {
+    let mut down = false;
+    while !inner.clean.load(Ordering::Relaxed) {
+        sleep(TICK).await;
+    }
+    loop {
+        let result = converse(&inner, addr, &news).await;
+        set_link(&inner, addr, |link| link.name = None);
+        if let Err(e) = result {
+            if !down {
+                log::warn!(entry_addr = addr.to_string().as_str(), error = e.to_string().as_str();
+                    "link to an entry is down");
+            }
+            down = e.kind() != io::ErrorKind::UnexpectedEof;
+        }
+        sleep(RECONNECT).await;
+    }
+}
+
+fn set_link(inner: &Inner, addr: SocketAddr, set: impl FnOnce(&mut Link)) {
+    if let Some(link) = lock(&inner.links).get_mut(&addr) {
+        set(link);
+    }
+}
+
+async fn converse(inner: &Arc<Inner>, addr: SocketAddr, news: &Notify) -> io::Result<()> {
+    let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+    let stream = timeout(CONNECT, TcpStream::connect(addr))
+        .await
+        .map_err(late)??;
+    let (mut reader, mut writer) = line::open(stream)?;
+    let first: FromEntry = timeout(CONNECT, reader.read()).await.map_err(late)??;
+    let name = first.entry.ok_or(io::ErrorKind::InvalidData)?;
+    log::info!(entry = name.entry.as_str(), life = name.life; "link to an entry is up");
+    let mut hello = lock(&inner.slots).entry_up(clock::since_boot(), &name);
+    hello.agent = inner.cfg.name.clone();
+    hello.life = inner.cfg.life;
+    hello.failure_domain = inner.cfg.failure_domain.clone();
+    let mut talk = Talk {
+        inner: inner.clone(),
+        addr,
+        name: name.clone(),
+        told: Backend::default(),
+        taken: 0,
+    };
+    let mut line = talk.line();
+    line.hello = Some(hello);
+    writer.write(&line).await?;
+    set_link(inner, addr, |link| link.name = Some(name));
+    let mut heard = clock::since_boot();
+    let mut beat = interval(lease::HEARTBEAT);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            line = reader.read::<FromEntry>() => {
+                heard = clock::since_boot();
+                talk.take(line?);
+            }
+            () = news.notified() => {
+                writer.write(&talk.line()).await?;
+            }
+            _ = beat.tick() => {
+                writer.write(&talk.line()).await?;
+                if clock::since_boot() - heard > lease::SILENCE {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            }
+        }
+    }
+}
+
+/// One link while it is up.
+struct Talk {
+    inner: Arc<Inner>,
+    addr: SocketAddr,
+    name: EntryName,
+    told: Backend,
+    taken: u64,
+}
+
+impl Talk {
+    fn take(&mut self, line: FromEntry) {
+        let now = clock::since_boot();
+        set_link(&self.inner, self.addr, |link| link.hungry = line.hungry);
+        {
+            let mut slots = lock(&self.inner.slots);
+            let fresh = slots.heard(now, &self.name, line.seen_ms);
+            for run in &line.stops {
+                slots.withdraw(now, &self.name, run);
+            }
+            for start in line.starts {
+                self.taken += 1;
+                slots.start(now, &self.name, fresh, start);
+            }
+        }
+        flush(&self.inner);
+        tell_news(&self.inner);
+    }
+
+    fn line(&mut self) -> FromAgent {
+        let mut slots = lock(&self.inner.slots);
+        let mut line = slots.line(&self.name, clock::since_boot());
+        line.taken = self.taken;
+        let backend = slots.backend();
+        if backend != self.told {
+            self.told = backend.clone();
+            line.backend = Some(backend);
+        }
+        drop(slots);
+        set_link(&self.inner, self.addr, |link| link.free_told = line.free);
+        line
+    }
+}
--- /dev/null
+++ b/src/besteffort/entry.rs
@@ -0,0 +1,344 @@
+//! An entry for best-effort work: callers' jobs on one side, links from the agents on the other.
+//!
+//! What is done is decided by [`Board`]; this part carries its actions out. All runs on one thread:
+//! the entry VMs have a fraction of one core.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use compact_str::CompactString;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+
+use crate::besteffort::line;
+use crate::clock;
+use crate::decide::besteffort::board::{Action, Admitted, Board, Counts};
+use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Submission};
+use crate::decide::besteffort::lease;
+use crate::decide::besteffort::message::{EntryName, FromAgent, FromEntry};
+
+/// How often time bounds are looked at.
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// Lateness of a tick that tells of a pause of the process. A machine that has used up its share of
+/// the processor pauses for less than 100 ms.
+const STOOD_STILL: time::Duration = time::Duration::from_millis(180);
+
+/// How long an agent may take to say who it is.
+const HELLO: time::Duration = time::Duration::from_millis(1_000);
+
+/// Who an entry is, and where agents reach it.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name and life.
+    pub name: EntryName,
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+    /// Where agents connect.
+    pub links: SocketAddr,
+}
+
+struct Inner {
+    cfg: Config,
+    board: Mutex<Board>,
+    links: Mutex<HashMap<LinkNo, Arc<Link>>>,
+    callers: Mutex<HashMap<JobNo, Vec<oneshot::Sender<Outcome>>>>,
+    next_link: Mutex<LinkNo>,
+}
+
+/// The entry's side of a link.
+#[derive(Default)]
+struct Link {
+    /// What waits for the writer.
+    out: Mutex<FromEntry>,
+    news: Notify,
+    close: Notify,
+}
+
+/// A running entry.
+#[derive(Clone)]
+pub struct Entry {
+    inner: Arc<Inner>,
+    addr: SocketAddr,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Opens an entry that agents can connect to.
+///
+/// # Errors
+///
+/// Returns what the system says where the address can't be bound.
+pub async fn open(cfg: Config) -> io::Result<Entry> {
+    let listener = TcpListener::bind(cfg.links).await?;
+    let addr = listener.local_addr()?;
+    let inner = Arc::new(Inner {
+        board: Mutex::new(Board::open(&cfg.failure_domain)),
+        cfg,
+        links: Mutex::default(),
+        callers: Mutex::default(),
+        next_link: Mutex::default(),
+    });
+    tokio::spawn(accept(inner.clone(), listener));
+    tokio::spawn(tick(inner.clone()));
+    Ok(Entry { inner, addr })
+}
+
+impl Entry {
+    /// Where agents connect.
+    pub fn link_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Runs a job and returns how it ended. Dropping the future says that the caller has left.
+    pub async fn run(&self, ask: Submission) -> Outcome {
+        let admitted = lock(&self.inner.board).submit(clock::since_boot(), ask);
+        let no = match admitted {
+            Admitted::Answered(outcome) => return outcome,
+            Admitted::Job(no) => no,
+        };
+        let (tx, rx) = oneshot::channel();
+        lock(&self.inner.callers).entry(no).or_default().push(tx);
+        let _left = Left {
+            inner: self.inner.clone(),
+            no,
+        };
+        carry_out(&self.inner);
+        rx.await.unwrap_or(Outcome::GaveUp)
+    }
+
+    /// Withdraws a job at its caller's request; false where it isn't known here.
+    pub fn cancel(&self, job: &str) -> bool {
+        let found = lock(&self.inner.board).find(job);
+        let Some(no) = found else {
+            return false;
+        };
+        lock(&self.inner.callers).remove(&no);
+        lock(&self.inner.board).caller_left(clock::since_boot(), no);
+        carry_out(&self.inner);
+        true
+    }
+
+    /// Whether a job is known and hasn't ended.
+    pub fn knows(&self, job: &str) -> bool {
+        lock(&self.inner.board).find(job).is_some()
+    }
+
+    /// Jobs of a class of which nothing was started.
+    pub fn pending(&self, class: &str) -> usize {
+        lock(&self.inner.board).pending(class)
+    }
+
+    /// Jobs that haven't ended.
+    pub fn open_jobs(&self) -> usize {
+        lock(&self.inner.board).open_jobs()
+    }
+
+    /// From now on takes only jobs that end by then, and none after `last`.
+    pub fn stop_by(&self, last: time::Duration, by: time::Duration) {
+        lock(&self.inner.board).stop_by(last, by);
+    }
+
+    /// Gives up and answers whatever hasn't ended.
+    pub fn give_up(&self) {
+        lock(&self.inner.board).give_up_all(clock::since_boot());
+        carry_out(&self.inner);
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        lock(&self.inner.board).counts.clone()
+    }
+
+    /// Agents that are linked.
+    pub fn agents(&self) -> usize {
+        lock(&self.inner.links).len()
+    }
+}
+
+/// Tells the board when a caller has left before its job ended.
+struct Left {
+    inner: Arc<Inner>,
+    no: JobNo,
+}
+
+impl Drop for Left {
+    fn drop(&mut self) {
+        {
+            let mut callers = lock(&self.inner.callers);
+            let Some(waiting) = callers.get_mut(&self.no) else {
+                return;
+            };
+            waiting.retain(|tx| !tx.is_closed());
+            if !waiting.is_empty() {
+                return;
+            }
+            callers.remove(&self.no);
+        }
+        lock(&self.inner.board).caller_left(clock::since_boot(), self.no);
+        carry_out(&self.inner);
+    }
+}
+
+async fn tick(inner: Arc<Inner>) {
+    let mut last = clock::since_boot();
+    loop {
+        sleep(TICK).await;
+        let now = clock::since_boot();
+        let pause = now.saturating_sub(last);
+        if pause > STOOD_STILL {
+            log::warn!(ms = pause.as_millis() as u64; "this process stood still");
+            lock(&inner.board).stood_still(now);
+        }
+        last = now;
+        lock(&inner.board).tick(now);
+        carry_out(&inner);
+    }
+}
+
+/// Does what the board has decided.
+fn carry_out(inner: &Inner) {
+    let (actions, hungry) = {
+        let mut board = lock(&inner.board);
+        (board.actions(), board.is_hungry())
+    };
+    let links = lock(&inner.links);
+    for action in actions {
+        match action {
+            Action::Start(link, start) => out(&links, link, |out| out.starts.push(start)),
+            Action::Stop(link, run) => out(&links, link, |out| out.stops.push(run)),
+            Action::Close(link) => {
+                if let Some(link) = links.get(&link) {
+                    link.close.notify_one();
+                }
+            }
+            Action::Answer(no, outcome) => answer(inner, no, &outcome),
+        }
+    }
+    for link in links.values() {
+        let mut out = lock(&link.out);
+        if out.hungry != hungry {
+            out.hungry = hungry;
+            if hungry {
+                link.news.notify_one();
+            }
+        }
+    }
+}
+
+fn out(links: &HashMap<LinkNo, Arc<Link>>, link: LinkNo, add: impl FnOnce(&mut FromEntry)) {
+    if let Some(link) = links.get(&link) {
+        add(&mut lock(&link.out));
+        link.news.notify_one();
+    }
+}
+
+fn answer(inner: &Inner, no: JobNo, outcome: &Outcome) {
+    let waiting = lock(&inner.callers).remove(&no).unwrap_or_default();
+    for tx in waiting {
+        if tx.send(outcome.clone()).is_err() {
+            log::debug!(job_no = no; "caller left as its answer was ready");
+        }
+    }
+}
+
+async fn accept(inner: Arc<Inner>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_link(inner.clone(), stream));
+            }
+            Err(e) => {
+                log::error!(error = e.to_string().as_str(); "no link can be accepted");
+                sleep(TICK).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(inner: Arc<Inner>, stream: TcpStream) {
+    let no = {
+        let mut next = lock(&inner.next_link);
+        *next += 1;
+        *next
+    };
+    let link = Arc::new(Link::default());
+    lock(&inner.links).insert(no, link.clone());
+    let result = converse(&inner, no, &link, stream).await;
+    lock(&inner.links).remove(&no);
+    if let Err(e) = result {
+        log::debug!(link = no, error = e.to_string().as_str(); "link has ended");
+    }
+    lock(&inner.board).agent_down(clock::since_boot(), no);
+    carry_out(&inner);
+}
+
+async fn converse(inner: &Inner, no: LinkNo, link: &Link, stream: TcpStream) -> io::Result<()> {
+    let (mut reader, mut writer) = line::open(stream)?;
+    let first = FromEntry {
+        entry: Some(inner.cfg.name.clone()),
+        ..FromEntry::default()
+    };
+    writer.write(&first).await?;
+    let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+    let hello: FromAgent = timeout(HELLO, reader.read()).await.map_err(late)??;
+    let mut seen = Seen::default();
+    take(inner, no, &mut seen, hello);
+    let mut beat = interval(lease::HEARTBEAT);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            line = reader.read::<FromAgent>() => take(inner, no, &mut seen, line?),
+            () = link.news.notified() => writer.write(&seen.line(link)).await?,
+            _ = beat.tick() => writer.write(&seen.line(link)).await?,
+            () = link.close.notified() => return Ok(()),
+        }
+    }
+}
+
+fn take(inner: &Inner, no: LinkNo, seen: &mut Seen, line: FromAgent) {
+    let now = clock::since_boot();
+    seen.agent_ms = line.now_ms;
+    seen.at = now;
+    {
+        let mut board = lock(&inner.board);
+        if let Some(hello) = &line.hello {
+            board.agent_up(now, no, hello);
+        }
+        board.heard(now, no, &line);
+    }
+    carry_out(inner);
+}
+
+/// The agent's clock as last heard, and when that was.
+#[derive(Default)]
+struct Seen {
+    agent_ms: u64,
+    at: time::Duration,
+}
+
+impl Seen {
+    /// The next line, with what waits for the writer; times become those of the agent's clock. The
+    /// way here makes them too early at most.
+    fn line(&self, link: &Link) -> FromEntry {
+        let mut out = lock(&link.out);
+        let hungry = out.hungry;
+        let mut line = std::mem::take(&mut *out);
+        out.hungry = hungry;
+        drop(out);
+        line.seen_ms = self.agent_ms;
+        let at = self.at.as_millis() as u64;
+        let there = |ms: u64| (ms + self.agent_ms).saturating_sub(at);
+        for start in &mut line.starts {
+            start.deadline_ms = there(start.deadline_ms);
+            start.urgency_ms = there(start.urgency_ms);
+        }
+        line
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -101,3 +101,18 @@
         _ = tokio::signal::ctrl_c() => {}
     }
 }
+
+/// Calls `reload` whenever the process gets a HUP signal, which would end it otherwise. Never ends.
+pub async fn on_reload(mut reload: impl FnMut()) {
+    use tokio::signal::unix::{signal, SignalKind};
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(e) => {
+            log::error!(error = e.to_string().as_str(); "HUP signals can't be caught");
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        reload();
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/job.rs
@@ -0,0 +1,190 @@
+//! A best-effort job at its entry: what its caller asked for, its tasks, and how it ends.
+
+use std::time;
+
+use compact_str::CompactString;
+
+use crate::decide::besteffort::message::{JobId, Room, RunNumber};
+
+/// Numbers the jobs of one life of an entry.
+pub type JobNo = u64;
+
+/// Tells the links of an entry to its agents apart.
+pub type LinkNo = u64;
+
+/// What a caller asked for, with what the configuration says of its class.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// The job.
+    pub job: JobId,
+    /// The class of work.
+    pub class: CompactString,
+    /// The service whose backend servers run it.
+    pub service: CompactString,
+    /// What each task gets.
+    pub input: CompactString,
+    /// How many tasks, at least 1.
+    pub tasks: u32,
+    /// Room that a task takes.
+    pub need: Room,
+    /// How long a task is said to run; rough.
+    pub declared: time::Duration,
+    /// A label that a worker must have.
+    pub requires: Option<CompactString>,
+    /// A label of the workers near the data.
+    pub near: Option<CompactString>,
+    /// Most tasks on one worker.
+    pub per_worker: Option<u32>,
+    /// Failed runs of a task after which the job has failed.
+    pub attempts: u32,
+    /// Urgency of the class; 0 comes first.
+    pub priority: u32,
+    /// The target, as a multiple of the run time.
+    pub stretch: f64,
+    /// What is added to that multiple.
+    pub slack: time::Duration,
+    /// When its caller stops waiting.
+    pub deadline: time::Duration,
+    /// Larger than the number of any run that an earlier submission of this job may have had.
+    pub first_run: RunNumber,
+}
+
+/// How a job ended, for its caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// All tasks were done.
+    Complete,
+    /// A task failed as often as its class allows.
+    Failed,
+    /// Time ran out after part of it may have run.
+    GaveUp,
+    /// Nothing of it ran; when to come back.
+    NotRun(NotRun, time::Duration),
+}
+
+/// Why nothing of a job ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotRun {
+    /// No worker of its service takes work.
+    NoWorker,
+    /// No worker is large enough, or has the label that it needs.
+    NoFit,
+    /// Its target can't be met behind what waits already.
+    Overloaded,
+    /// This entry is stopping and it couldn't end in time.
+    Stopping,
+}
+
+impl NotRun {
+    /// The reason as logs and metrics name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            NotRun::NoWorker => "no_worker",
+            NotRun::NoFit => "no_fit",
+            NotRun::Overloaded => "overloaded",
+            NotRun::Stopping => "stopping",
+        }
+    }
+}
+
+impl Outcome {
+    /// The outcome as logs and metrics name it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Outcome::Complete => "complete",
+            Outcome::Failed => "failed",
+            Outcome::GaveUp => "gave_up",
+            Outcome::NotRun(..) => "not_run",
+        }
+    }
+}
+
+/// Where one task stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum State {
+    /// It waits for room.
+    Waiting,
+    /// It was sent to an agent.
+    Placed(Placed),
+    /// It is done.
+    Done,
+}
+
+/// A run that an agent has.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    /// The agent.
+    pub agent: crate::id::AgentId,
+    /// The run.
+    pub number: RunNumber,
+    /// When it was sent.
+    pub sent: time::Duration,
+    /// When it was seen at work first.
+    pub begun: Option<time::Duration>,
+    /// Hundredths done, as last heard.
+    pub percent: u8,
+    /// When that changed last.
+    pub changed: time::Duration,
+    /// Whether it is being stopped to go elsewhere.
+    pub moving: bool,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// Where it stands.
+    pub state: State,
+    /// Runs that failed.
+    pub failed: u32,
+    /// The agent that had it last; the next run prefers another.
+    pub last: Option<crate::id::AgentId>,
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What was asked for.
+    pub ask: Submission,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// When it came.
+    pub arrived: time::Duration,
+    /// How long a task is thought to run on a sound worker.
+    pub estimate: time::Duration,
+    /// Latest time for a task to start if the target is to be met.
+    pub latest: time::Duration,
+    /// The number of the next run.
+    pub next_run: RunNumber,
+    /// Starts sent, over all tasks.
+    pub starts: u32,
+    /// Tasks that aren't done.
+    pub left: u32,
+    /// Tasks that were moved off a slow or failing worker.
+    pub moved: u32,
+    /// When the first task was sent.
+    pub first_start: Option<time::Duration>,
+}
+
+impl Job {
+    /// Opens a job whose tasks all wait.
+    pub fn open(ask: Submission, now: time::Duration, estimate: time::Duration) -> Job {
+        let task = Task {
+            state: State::Waiting,
+            failed: 0,
+            last: None,
+        };
+        let allowed = estimate.mul_f64((ask.stretch - 1.0).max(0.0)) + ask.slack;
+        Job {
+            tasks: vec![task; ask.tasks as usize],
+            arrived: now,
+            estimate,
+            latest: now + allowed,
+            next_run: ask.first_run,
+            starts: 0,
+            left: ask.tasks,
+            moved: 0,
+            first_start: None,
+            ask,
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/lease.rs
@@ -0,0 +1,95 @@
+//! The time bounds that keep two runs of one task apart, and the backend server's lease.
+//!
+//! A caller whose connection broke submits the same job again, to any entry, after
+//! [`RESUBMIT_AFTER`] at the earliest. By then every run of the first submission must have ended,
+//! whoever died, froze, slowed or was cut off. Two waits can follow one another: the agent takes
+//! [`SILENCE`] to give up an entry that it doesn't hear, and where the agent itself stops in the
+//! meantime its backend server goes on for [`LEASE`]. `docs/design/besteffort.md` adds them up.
+
+use std::time;
+
+/// Soonest that a caller submits a job again after its connection broke; from the callers.
+pub const RESUBMIT_AFTER: time::Duration = time::Duration::from_millis(1_300);
+
+/// How long an agent goes on for an entry that it doesn't hear. Three heartbeats fit, and the pause
+/// of a machine that has used up its share of the processor (100 ms) with them.
+pub const SILENCE: time::Duration = time::Duration::from_millis(400);
+
+/// How long a backend server goes on without its agent.
+pub const LEASE: time::Duration = time::Duration::from_millis(650);
+
+/// How much slower than true time a backend server's clock may run: 2%.
+pub const SLOW_CLOCK: f64 = 1.02;
+
+/// Longest that a backend server takes to stop a run.
+pub const STOP: time::Duration = time::Duration::from_millis(50);
+
+/// What the agent and the network add to the bounds above.
+pub const SLACK: time::Duration = time::Duration::from_millis(60);
+
+/// How often each side of a link says that it lives, where nothing else was sent.
+pub const HEARTBEAT: time::Duration = time::Duration::from_millis(120);
+
+/// Longest that a backend server goes on after the agent's last word to it.
+pub fn lapse() -> time::Duration {
+    LEASE.mul_f64(SLOW_CLOCK) + STOP
+}
+
+/// Longest that a run goes on after the entry's last word that reached its agent.
+pub fn abandoned() -> time::Duration {
+    SILENCE + lapse() + SLACK
+}
+
+/// The lease that an agent holds on its backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lease {
+    /// The other clock minus ours at the last answer; it may only be late by the way back.
+    offset: Option<i64>,
+    /// Until when the backend server may go on, on our clock; from the latest order that was sent.
+    granted: time::Duration,
+    /// When the latest order that was answered had been sent.
+    confirmed: time::Duration,
+    /// When the latest answer came.
+    answered: time::Duration,
+}
+
+/// How long after the last answered renewal further ones still lengthen the lease. Where the
+/// backend server is silent for longer, its lease must run out, so that it is known when its runs
+/// have ended.
+const UNCONFIRMED: time::Duration = time::Duration::from_millis(500);
+
+impl Lease {
+    /// Takes in the backend server's clock, as an answer brought it.
+    pub fn heard(&mut self, sent: time::Duration, now: time::Duration, clock_ms: u64) {
+        let offset = clock_ms as i64 - now.as_millis() as i64;
+        self.offset = Some(offset);
+        self.confirmed = self.confirmed.max(sent);
+        self.answered = now;
+    }
+
+    /// The end of the lease to ask for now, on the backend server's clock; none before its clock is
+    /// known, and none while it is silent.
+    pub fn renew(&mut self, now: time::Duration) -> Option<u64> {
+        let offset = self.offset?;
+        if now > self.confirmed + UNCONFIRMED {
+            return None;
+        }
+        self.granted = now + LEASE;
+        Some((self.granted.as_millis() as i64 + offset).max(1) as u64)
+    }
+
+    /// Whether everything on the backend server has ended for want of a lease.
+    pub fn lapsed(&self, now: time::Duration) -> bool {
+        now > self.granted + STOP + LEASE.mul_f64(SLOW_CLOCK - 1.0)
+    }
+
+    /// Whether the backend server has been silent for so long.
+    pub fn silent(&self, now: time::Duration, bound: time::Duration) -> bool {
+        now > self.answered + bound
+    }
+
+    /// Whether a renewal is overdue, so that one more is worth a call of its own.
+    pub fn overdue(&self, now: time::Duration, after: time::Duration) -> bool {
+        now > self.confirmed + after
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/message.rs
@@ -0,0 +1,206 @@
+//! What entries and agents say to each other about best-effort jobs; JSON lines on the wire.
+//!
+//! The agent connects. Each side sends one line for all that waits at the moment, at least one a
+//! heartbeat. A line of the entry repeats the agent's clock as last heard, so that the agent can
+//! tell how old it is, however long the network held it back.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// Longest line that is read, in bytes: a hundred starts with inputs of four kilobytes each.
+pub const MAX_LINE: usize = 1024 * 1024;
+
+/// Names a job; chosen by its caller.
+pub type JobId = CompactString;
+
+/// Numbers the starts of one task over all entries; a later start has a larger number.
+pub type RunNumber = u64;
+
+/// Names one run of one task.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Run {
+    /// The job.
+    pub job: JobId,
+    /// The task inside the job, from 0.
+    pub task: id::TaskIndex,
+    /// Which run of the task.
+    pub number: RunNumber,
+}
+
+/// Room on a backend server.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Room {
+    /// Processor time, in thousandths of a core.
+    pub cpu: i64,
+    /// Memory, in megabytes.
+    pub memory_mb: i64,
+    /// Accelerators.
+    pub accelerators: i64,
+}
+
+impl Room {
+    /// Whether `need` fits.
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cpu <= self.cpu
+            && need.memory_mb <= self.memory_mb
+            && need.accelerators <= self.accelerators
+    }
+
+    /// What is left without `need`.
+    pub fn minus(&self, need: &Room) -> Room {
+        Room {
+            cpu: self.cpu - need.cpu,
+            memory_mb: self.memory_mb - need.memory_mb,
+            accelerators: self.accelerators - need.accelerators,
+        }
+    }
+
+    /// What there is with `need` given back.
+    pub fn plus(&self, need: &Room) -> Room {
+        Room {
+            cpu: self.cpu + need.cpu,
+            memory_mb: self.memory_mb + need.memory_mb,
+            accelerators: self.accelerators + need.accelerators,
+        }
+    }
+}
+
+/// Who an agent is, and what it still has of the entry's; the first line of a link.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Hello {
+    /// The agent.
+    pub agent: id::AgentId,
+    /// Which life of it.
+    pub life: id::Incarnation,
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+    /// Runs of this entry that wait, run or are being stopped. What the entry started on an earlier
+    /// link and isn't here nor in `ended` never runs.
+    pub runs: Vec<Run>,
+    /// Latest ends of this entry's runs; they may have been lost on an earlier link.
+    pub ended: Vec<Ended>,
+}
+
+/// The backend server beside an agent.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Backend {
+    /// Which life of it; empty where none has announced itself.
+    pub instance: CompactString,
+    /// The service that it belongs to.
+    pub service: CompactString,
+    /// Its kind, rack and whatever else tasks may ask for.
+    pub labels: Vec<CompactString>,
+    /// All of its room.
+    pub size: Room,
+    /// Whether it takes new work.
+    pub takes_work: bool,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum How {
+    /// It was done.
+    Done,
+    /// It failed, through its own fault or the backend server's.
+    Failed,
+    /// It was stopped or lost; it doesn't run any more and may be started again.
+    Gone,
+    /// It never began: there was no room in time, or the start came too late.
+    NotRun,
+    /// The backend server turned it away since it is unwell; it never began.
+    Rejected,
+}
+
+/// The end of one run.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Ended {
+    /// The run.
+    pub run: Run,
+    /// How it ended.
+    pub how: How,
+    /// For how long it ran, in milliseconds.
+    #[serde(default)]
+    pub took_ms: u64,
+}
+
+/// How far a run has come.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Progress {
+    /// The run.
+    pub run: Run,
+    /// Hundredths of its work.
+    pub percent: u8,
+    /// For how long it has run, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A line of an agent.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct FromAgent {
+    /// The agent's clock, in milliseconds since its machine started, suspensions included.
+    pub now_ms: u64,
+    /// Starts of this link that have been read.
+    pub taken: u64,
+    /// Room that nobody uses or waits for.
+    pub free: Room,
+    /// Who speaks; on the first line only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hello: Option<Hello>,
+    /// The backend server, where it changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub backend: Option<Backend>,
+    /// Runs that have ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<Ended>,
+    /// How far the entry's runs are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<Progress>,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Start {
+    /// The run.
+    pub run: Run,
+    /// What the backend server gets.
+    pub input: CompactString,
+    /// Room that it takes.
+    pub need: Room,
+    /// Smaller goes first where several wait.
+    pub urgency_ms: u64,
+    /// When it must have ended, on the agent's clock.
+    pub deadline_ms: u64,
+    /// Longest that it may wait at the agent for room.
+    pub patience_ms: u64,
+}
+
+/// A line of an entry.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct FromEntry {
+    /// The agent's clock as last heard on this link.
+    pub seen_ms: u64,
+    /// Which entry speaks, and which life of it; on the first line only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entry: Option<EntryName>,
+    /// Whether work waits at the entry, so that it should hear at once of room that comes free.
+    #[serde(default)]
+    pub hungry: bool,
+    /// Runs to start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub starts: Vec<Start>,
+    /// Runs to stop.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<Run>,
+}
+
+/// One life of an entry.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct EntryName {
+    /// The entry.
+    pub entry: id::EntryId,
+    /// Which life of it.
+    pub life: id::Incarnation,
+}
--- /dev/null
+++ b/src/decide/besteffort/place.rs
@@ -0,0 +1,195 @@
+//! Where a task goes, and how long it has to wait.
+//!
+//! Answers the usual load and bursts: work waits at the entry in the order of the latest start that
+//! still meets its target, and goes to an agent only when that has room, so that a worker that turns
+//! slow holds no queue. Of the agents with room the one with the earliest expected end is taken.
+
+use std::time;
+
+use crate::decide::besteffort::board::{Action, Board};
+use crate::decide::besteffort::job::{Job, JobNo, Placed, State};
+use crate::decide::besteffort::message::{Run, Start};
+use crate::decide::besteffort::view::View;
+use crate::id;
+
+/// How much longer a task runs away from its data; from the deployments (1.5 today).
+const FAR: f64 = 1.5;
+
+/// What a longer way costs: an exchange with another failure domain takes about this much more.
+const OTHER_DOMAIN: time::Duration = time::Duration::from_millis(2);
+
+/// How strongly an empty agent is preferred to a full one, as a share of the run time. Spreads
+/// wide jobs; small against the difference between a sound and a slow worker.
+const SPREAD: f64 = 0.1;
+
+/// An agent so much slower than usual gets work only if the target can still be met there.
+const SLOW: f64 = 2.0;
+
+/// Longest that a start may wait at an agent that was full on arrival, because another entry was
+/// quicker. Longer, and the entry could have placed it elsewhere.
+const PATIENCE: time::Duration = time::Duration::from_millis(40);
+
+/// Tasks at the head of the queue that may be passed over because nothing has room for them.
+const LOOK_AHEAD: usize = 4;
+
+impl Board {
+    /// Whether a worker may run a job, room apart.
+    pub(super) fn suits(&self, job: &Job, view: &View) -> bool {
+        let ask = &job.ask;
+        let labelled = |label: &compact_str::CompactString| view.backend.labels.contains(label);
+        view.backend.service == ask.service && ask.requires.as_ref().is_none_or(labelled)
+    }
+
+    /// How long a new job would wait for its first room, by the work that goes before it.
+    pub(super) fn wait(&self, _now: time::Duration, job: &Job) -> time::Duration {
+        let there = self.agents.values().filter(|view| view.is_there());
+        let fitting = there.filter(|view| self.suits(job, view));
+        let (mut rate, mut free) = (0.0, false);
+        for view in fitting {
+            rate += view.backend.size.cpu as f64 / self.learned.slowness(&view.agent);
+            free |= view.free().fits(&job.ask.need);
+        }
+        let ahead = self.queue.range(..(job.latest, JobNo::MAX, 0));
+        let ahead: f64 = ahead
+            .filter_map(|(_, no, _)| self.jobs.get(no))
+            .map(|other| other.ask.need.cpu as f64 * other.estimate.as_secs_f64())
+            .sum();
+        if rate <= 0.0 || (free && ahead == 0.0) {
+            return time::Duration::ZERO;
+        }
+        // Several entries share the agents alike, so each gets its part of their work.
+        time::Duration::from_secs_f64((ahead / rate * ENTRIES).min(60.0))
+    }
+
+    /// Sends what waits to the agents that have room.
+    pub(super) fn dispatch(&mut self, now: time::Duration) {
+        if now < self.settled_at {
+            return;
+        }
+        let mut passed = 0;
+        let mut after = None;
+        while passed < LOOK_AHEAD {
+            let next = match after {
+                None => self.queue.first().copied(),
+                Some(key) => self
+                    .queue
+                    .range((std::ops::Bound::Excluded(key), std::ops::Bound::Unbounded))
+                    .next()
+                    .copied(),
+            };
+            let Some(key) = next else {
+                return;
+            };
+            after = Some(key);
+            if !self.place(now, key.1, key.2) {
+                passed += 1;
+            } else {
+                self.queue.remove(&key);
+            }
+        }
+    }
+
+    fn place(&mut self, now: time::Duration, no: JobNo, index: id::TaskIndex) -> bool {
+        let Some(job) = self.jobs.get(&no) else {
+            return true;
+        };
+        let Some(agent) = self.choose(now, job, index) else {
+            return false;
+        };
+        let Some(view) = self.agents.get_mut(&agent) else {
+            return false;
+        };
+        let Some(link) = view.link else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return true;
+        };
+        view.sent(job.ask.need);
+        let number = job.next_run;
+        job.next_run += 1;
+        job.starts += 1;
+        job.first_start.get_or_insert(now);
+        job.tasks[index as usize].state = State::Placed(Placed {
+            agent,
+            number,
+            sent: now,
+            begun: None,
+            percent: 0,
+            changed: now,
+            moving: false,
+        });
+        let run = Run {
+            job: job.ask.job.clone(),
+            task: index,
+            number,
+        };
+        let start = Start {
+            run,
+            input: job.ask.input.clone(),
+            need: job.ask.need,
+            urgency_ms: job.latest.as_millis() as u64,
+            deadline_ms: job.ask.deadline.as_millis() as u64,
+            patience_ms: PATIENCE.as_millis() as u64,
+        };
+        self.counts.starts += 1;
+        self.actions.push(Action::Start(link, start));
+        true
+    }
+
+    /// The agent with room where the task is expected to end first.
+    fn choose(&self, now: time::Duration, job: &Job, index: id::TaskIndex) -> Option<id::AgentId> {
+        let last = job.tasks[index as usize].last.as_ref();
+        let mut best: Option<(f64, &View)> = None;
+        for view in self.agents.values() {
+            if !view.takes(now) || !self.suits(job, view) || !view.free().fits(&job.ask.need) {
+                continue;
+            }
+            if !self.has_share(job, view) || self.too_slow(now, job, view) {
+                continue;
+            }
+            let mut cost = self.cost(job, view);
+            if last == Some(&view.agent) {
+                cost *= 2.0;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, view));
+            }
+        }
+        best.map(|(_, view)| view.agent.clone())
+    }
+
+    fn has_share(&self, job: &Job, view: &View) -> bool {
+        let Some(most) = job.ask.per_worker else {
+            return true;
+        };
+        let here = job.tasks.iter().filter(
+            |task| matches!(&task.state, State::Placed(placed) if placed.agent == view.agent),
+        );
+        (here.count() as u32) < most
+    }
+
+    fn too_slow(&self, now: time::Duration, job: &Job, view: &View) -> bool {
+        let slowness = self.learned.slowness(&view.agent);
+        slowness > SLOW && now + job.estimate.mul_f64(slowness) > job.latest + job.estimate
+    }
+
+    /// Expected run time of a task at an agent, in seconds, with what spreads tasks over agents.
+    pub(super) fn cost(&self, job: &Job, view: &View) -> f64 {
+        let mut cost = job.estimate.as_secs_f64() * self.learned.slowness(&view.agent);
+        let near = job.ask.near.as_ref();
+        if near.is_some_and(|label| !view.backend.labels.contains(label)) {
+            cost *= FAR;
+        }
+        if view.failure_domain != self.domain {
+            cost += OTHER_DOMAIN.as_secs_f64();
+        }
+        let size = view.backend.size.cpu.max(1) as f64;
+        let used = 1.0 - view.free().cpu as f64 / size;
+        cost + SPREAD * used * job.estimate.as_secs_f64()
+    }
+}
+
+/// How many entries share the agents; three on today's deployments. Where there are more, the wait
+/// is underestimated and work is refused later than it could be.
+const ENTRIES: f64 = 3.0;
--- /dev/null
+++ b/src/decide/besteffort/rescue.rs
@@ -0,0 +1,127 @@
+//! Moving work off workers that stand still or turn slow.
+//!
+//! The first run is stopped and the next begins only when its end is known, so that never two run
+//! at a time. It answers workers that slow down six- to eightfold or stand still for seconds while
+//! their heartbeats are good; a task of 60 to 900 ms can't wait for a health check to tell.
+
+use std::time;
+
+use crate::decide::besteffort::board::{Action, Board};
+use crate::decide::besteffort::job::{JobNo, Placed};
+use crate::decide::besteffort::message::{Progress, Run};
+
+/// What a move costs: the stop, and two exchanges.
+const MOVE: time::Duration = time::Duration::from_millis(80);
+
+/// How much earlier the end elsewhere has to be, as a share of what is left here. Estimates
+/// scatter by 0.4, and a move throws the work done so far away.
+const GAIN: f64 = 1.6;
+
+/// Shortest time without progress that counts as standing still. Listings come at least every 200
+/// ms, and lines every 120 ms.
+const STANDSTILL: time::Duration = time::Duration::from_millis(350);
+
+/// Hundredths that a sound worker would have done in that time, at least.
+const EXPECTED: f64 = 12.0;
+
+/// Weight of a standstill and of a slow run in the agent's slowness.
+const TELLS: f64 = 0.08;
+
+/// Age from which a run's pace tells anything.
+const YOUNG: time::Duration = time::Duration::from_millis(60);
+
+/// Slowness that one run on its own doesn't show: an agent must be known as slow to lose a run.
+const SLOW: f64 = 1.8;
+
+impl Board {
+    /// Takes in how far a run is, and moves it where that ends it sooner.
+    pub(super) fn progress(&mut self, now: time::Duration, agent: &str, progress: &Progress) {
+        let Some((no, placed)) = self.placed_mut(&progress.run, agent) else {
+            return;
+        };
+        if placed.begun.is_none() {
+            placed.begun = Some(now.saturating_sub(time::Duration::from_millis(progress.age_ms)));
+        }
+        if progress.percent != placed.percent {
+            placed.percent = progress.percent;
+            placed.changed = now;
+        }
+        let placed = placed.clone();
+        let age = time::Duration::from_millis(progress.age_ms);
+        if age < YOUNG || placed.moving {
+            return;
+        }
+        self.judge(now, no, &progress.run, &placed, age);
+    }
+
+    fn judge(
+        &mut self,
+        now: time::Duration,
+        no: JobNo,
+        run: &Run,
+        placed: &Placed,
+        age: time::Duration,
+    ) {
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        let estimate = job.estimate.as_secs_f64();
+        let still = now.saturating_sub(placed.changed);
+        let standing = still > STANDSTILL && still.as_secs_f64() / estimate * 100.0 > EXPECTED;
+        let percent = f64::from(placed.percent.max(1));
+        let projected = age.as_secs_f64() * 100.0 / percent;
+        if standing || projected > estimate * SLOW {
+            self.learned
+                .ratio(&placed.agent, projected / estimate, TELLS);
+        }
+        let slowness = self.learned.slowness(&placed.agent);
+        if !standing && slowness < SLOW {
+            return;
+        }
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        let here = if standing {
+            f64::INFINITY
+        } else {
+            (projected - age.as_secs_f64()).max(0.0)
+        };
+        let work = if standing {
+            estimate
+        } else {
+            projected / slowness
+        };
+        let others = self.agents.values().filter(|v| {
+            v.agent != placed.agent
+                && v.takes(now)
+                && self.suits(job, v)
+                && v.free().fits(&job.ask.need)
+        });
+        let best = others
+            .map(|v| self.cost(job, v) / estimate * work)
+            .fold(f64::INFINITY, f64::min);
+        let elsewhere = best + MOVE.as_secs_f64();
+        let end = now + time::Duration::from_secs_f64(elsewhere.min(1e6));
+        if elsewhere * GAIN < here && end < job.ask.deadline {
+            log::info!(job = run.job.as_str(), task = run.task, run = run.number,
+                agent = placed.agent.as_str(), percent = placed.percent, age_ms = age.as_millis() as u64,
+                slowness = slowness, standing = standing, elsewhere_ms = (elsewhere * 1e3) as u64;
+                "moving a run");
+            self.move_away(no, run, placed);
+        }
+    }
+
+    fn move_away(&mut self, no: JobNo, run: &Run, placed: &Placed) {
+        let Some(link) = self.agents.get(&placed.agent).and_then(|view| view.link) else {
+            return;
+        };
+        if let Some((_, placed)) = self.placed_mut(run, &placed.agent) {
+            placed.moving = true;
+        }
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.moved += 1;
+        }
+        self.counts.moved += 1;
+        self.actions.push(Action::Stop(link, run.clone()));
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/view.rs
@@ -0,0 +1,143 @@
+//! What an entry knows of one agent: its backend server, the room there, and whether it is heard.
+
+use std::collections::VecDeque;
+use std::time;
+
+use compact_str::CompactString;
+
+use crate::decide::besteffort::job::LinkNo;
+use crate::decide::besteffort::message::{Backend, FromAgent, Room};
+use crate::id;
+
+/// Failures in a row, without a success between them, after which an agent gets one task at a time.
+const FAILING: u32 = 2;
+
+/// How long such an agent is left alone before the next task is risked; doubled each time.
+const BAR: time::Duration = time::Duration::from_millis(500);
+const MAX_BAR: time::Duration = time::Duration::from_secs(4);
+
+/// How long an agent that turned a start away is passed over: the time in which its word of what
+/// room it has arrives.
+const TURNED_AWAY: time::Duration = time::Duration::from_millis(20);
+
+/// One agent.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Its name.
+    pub agent: id::AgentId,
+    /// Which life of it.
+    pub life: id::Incarnation,
+    /// Its link; none while it is cut off.
+    pub link: Option<LinkNo>,
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+    /// The backend server beside it.
+    pub backend: Backend,
+    /// When it was heard last.
+    pub heard: time::Duration,
+    /// Runs of ours that it has.
+    pub runs: u32,
+    free: Room,
+    sent: u64,
+    unread: VecDeque<(u64, Room)>,
+    failures: u32,
+    barred_until: time::Duration,
+    bar: time::Duration,
+    avoid_until: time::Duration,
+}
+
+impl View {
+    /// Opens the view of an agent that has just connected.
+    pub fn open(agent: id::AgentId, life: id::Incarnation, now: time::Duration) -> View {
+        View {
+            agent,
+            life,
+            link: None,
+            failure_domain: CompactString::default(),
+            backend: Backend::default(),
+            heard: now,
+            runs: 0,
+            free: Room::default(),
+            sent: 0,
+            unread: VecDeque::new(),
+            failures: 0,
+            barred_until: time::Duration::ZERO,
+            bar: BAR,
+            avoid_until: time::Duration::ZERO,
+        }
+    }
+
+    /// Begins a new link.
+    pub fn linked(&mut self, link: LinkNo, now: time::Duration) {
+        self.link = Some(link);
+        self.heard = now;
+        self.sent = 0;
+        self.unread.clear();
+    }
+
+    /// Takes in what the agent says of its room.
+    pub fn heard(&mut self, now: time::Duration, line: &FromAgent) {
+        self.heard = now;
+        self.free = line.free;
+        while self.unread.front().is_some_and(|(n, _)| *n <= line.taken) {
+            self.unread.pop_front();
+        }
+        if let Some(backend) = &line.backend {
+            if backend.instance != self.backend.instance {
+                self.recovered();
+            }
+            self.backend = backend.clone();
+        }
+    }
+
+    /// Counts a start that was sent.
+    pub fn sent(&mut self, need: Room) {
+        self.sent += 1;
+        self.runs += 1;
+        self.unread.push_back((self.sent, need));
+    }
+
+    /// Room that is left, less what the agent hasn't read yet.
+    pub fn free(&self) -> Room {
+        let unread = self.unread.iter();
+        unread.fold(self.free, |free, (_, need)| free.minus(need))
+    }
+
+    /// Whether a task may be sent now.
+    pub fn takes(&self, now: time::Duration) -> bool {
+        let risked = self.failures >= FAILING && self.runs > 0;
+        self.link.is_some()
+            && self.backend.takes_work
+            && now >= self.barred_until
+            && now >= self.avoid_until
+            && !risked
+    }
+
+    /// Whether it is there at all, sick or not.
+    pub fn is_there(&self) -> bool {
+        self.link.is_some() && self.backend.takes_work
+    }
+
+    /// A run failed, or the backend server turned it away. Returns whether the agent is barred now.
+    pub fn failed(&mut self, now: time::Duration) -> bool {
+        self.failures += 1;
+        if self.failures < FAILING {
+            return false;
+        }
+        self.barred_until = now + self.bar;
+        self.bar = (self.bar * 2).min(MAX_BAR);
+        true
+    }
+
+    /// A run was done.
+    pub fn recovered(&mut self) {
+        self.failures = 0;
+        self.bar = BAR;
+        self.barred_until = time::Duration::ZERO;
+    }
+
+    /// The agent had no room for a start.
+    pub fn turned_away(&mut self, now: time::Duration) {
+        self.avoid_until = now + TURNED_AWAY;
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod action;
 pub mod backlog;
+pub mod besteffort;
 pub mod budget;
 pub mod config;
 pub mod delivery;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod agent;
 pub mod bench;
+pub mod besteffort;
 pub mod controller;
 pub mod decide;
 pub mod demo;
@@ -16,6 +17,9 @@
 pub mod standin;
 pub mod wire;
 
+#[path = "../platform/mod.rs"]
+pub mod platform;
+
 pub mod backoff;
 pub mod class;
 pub mod cli;
--- a/tests/imports.rs
+++ b/tests/imports.rs
@@ -4,11 +4,12 @@
 use std::path::{Path, PathBuf};
 
 /// The layers, highest first. What stands in one line never imports its neighbours.
-const LAYERS: [&[&str]; 8] = [
+const LAYERS: [&[&str]; 9] = [
+    &["platform"],
     &["cli"],
     &["bench"],
     &["demo"],
-    &["agent", "entry", "standin"],
+    &["agent", "besteffort", "entry", "standin"],
     &["filter"],
     &["controller"],
     &["wire"],
@@ -85,6 +86,33 @@
     assert!(found.is_empty(), "{}", found.join("\n"));
 }
 
+/// What only `platform/` may know: the names on the users' pages.
+const PAGES: [&str; 9] = [
+    "/-/",
+    "x-lovagemill-",
+    "run-start",
+    "rows-get",
+    "fencing_token",
+    "ack_cursor",
+    "path_prefix",
+    "LOVAGEMILL_BOOT",
+    "crate::platform",
+];
+
+/// The product stays the product: what the users' platform calls things stands in one folder.
+#[test]
+fn the_platforms_names_stay_in_its_folder() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    for path in sources(&root) {
+        let text = fs::read_to_string(&path).expect("the source can be read");
+        let text = text.to_lowercase();
+        for name in PAGES {
+            let found = text.contains(&name.to_lowercase());
+            assert!(!found, "{} names {name}", path.display());
+        }
+    }
+}
+
 /// The binaries are thin: they know the command line's module and nothing else.
 #[test]
 fn binaries_import_only_the_command_line() {
