Refuse by expected wait, urgency of the class first

Change: urgency goes first, jobs that can't start in their slack are refused at once, by the rate at which the entry's own tasks found room; a task may be moved off a slow worker though all others are full.

--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -7,8 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time;
 
+use crate::decide::besteffort::flow::Flow;
 use crate::decide::besteffort::job::{
-    Job, JobNo, LinkNo, NotRun, Outcome, Placed, State, Submission, Task,
+    Job, JobNo, LinkNo, NotRun, Outcome, Placed, Rank, State, Submission, Task,
 };
 use crate::decide::besteffort::learn::Learned;
 use crate::decide::besteffort::lease;
@@ -30,6 +31,15 @@
 /// callers have left meanwhile. Their jobs may already run elsewhere.
 const SETTLE: time::Duration = time::Duration::from_millis(30);
 
+/// Share of a job's slack that may be expected to pass in the queue. Under lasting overload the wait
+/// settles at this bound; run times scatter by 0.4, and a task that starts at the very end of its
+/// slack is late every other time.
+const ADMITTED: f64 = 0.6;
+
+/// Share of its slack after which a job of which nothing was started is refused after all, because
+/// the wait turned out longer than expected. What would be late holds up what needn't be.
+const HOPELESS: f64 = 1.0;
+
 /// How far run numbers jump after a start that didn't begin; a second's worth.
 const RUN_STEP: u64 = 1_000;
 
@@ -68,7 +78,8 @@
 pub struct Board {
     pub(super) agents: BTreeMap<id::AgentId, View>,
     pub(super) jobs: HashMap<JobNo, Job>,
-    pub(super) queue: BTreeSet<(time::Duration, JobNo, id::TaskIndex)>,
+    pub(super) queue: BTreeSet<Rank>,
+    pub(super) flow: Flow,
     pub(super) learned: Learned,
     pub(super) actions: Vec<Action>,
     /// What entries did since the start.
@@ -120,8 +131,10 @@
         let no = self.next;
         self.by_id.insert(job.ask.job.clone(), no);
         for task in 0..job.ask.tasks {
-            self.queue.insert((job.latest, no, task));
+            self.queue.insert(job.rank(no, task));
         }
+        let work = job.task_work() * f64::from(job.ask.tasks);
+        self.flow.came(now, job.ask.priority, work);
         self.jobs.insert(no, job);
         self.dispatch(now);
         Admitted::Job(no)
@@ -143,7 +156,8 @@
                 return Some((NotRun::Stopping, RETRY_NO_WORKER));
             }
         }
-        if end > job.ask.deadline {
+        let slack = job.latest.saturating_sub(now);
+        if end > job.ask.deadline || wait > slack.mul_f64(ADMITTED) {
             return Some((NotRun::Overloaded, wait));
         }
         None
@@ -372,14 +386,14 @@
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
-        let latest = job.latest;
+        let rank = job.rank(no, index);
         let task = &mut job.tasks[index as usize];
         if let State::Placed(placed) = &task.state {
             task.last = Some(placed.agent.clone());
         }
         task.state = State::Waiting;
         if now < job.ask.deadline {
-            self.queue.insert((latest, no, index));
+            self.queue.insert(rank);
         }
     }
 
@@ -409,6 +423,7 @@
         self.drop_silent(now);
         self.settle_doubts(now);
         self.give_up(now);
+        self.refuse_hopeless(now);
         self.learned.compare();
         self.forget_endings(now);
         self.dispatch(now);
@@ -446,6 +461,22 @@
         }
     }
 
+    /// Refuses jobs that have waited in vain; callers do better to come back.
+    fn refuse_hopeless(&mut self, now: time::Duration) {
+        let hopeless = self.queue.iter().filter_map(|(.., no, task)| {
+            let job = self
+                .jobs
+                .get(no)
+                .filter(|job| job.starts == 0 && *task == 0)?;
+            let slack = job.latest.saturating_sub(job.arrived);
+            (now > job.arrived + slack.mul_f64(HOPELESS)).then_some(*no)
+        });
+        let hopeless: Vec<JobNo> = hopeless.collect();
+        for no in hopeless {
+            self.finish(now, no, Outcome::GaveUp);
+        }
+    }
+
     /// Ends a job: stops what still runs and answers its caller.
     pub(super) fn finish(&mut self, now: time::Duration, no: JobNo, outcome: Outcome) {
         self.withdraw(no);
@@ -470,7 +501,7 @@
         let job = self.jobs.remove(&no)?;
         self.by_id.remove(&job.ask.job);
         for task in 0..job.ask.tasks {
-            self.queue.remove(&(job.latest, no, task));
+            self.queue.remove(&job.rank(no, task));
         }
         Some(job)
     }
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -12,6 +12,9 @@
 /// Tells the links of an entry to its agents apart.
 pub type LinkNo = u64;
 
+/// The order in which tasks wait: urgency of the class, then the latest start that meets the target.
+pub type Rank = (u32, time::Duration, JobNo, crate::id::TaskIndex);
+
 /// What a caller asked for, with what the configuration says of its class.
 #[derive(Clone, Debug)]
 pub struct Submission {
@@ -166,6 +169,16 @@
 }
 
 impl Job {
+    /// Where a task of the job stands in the queue.
+    pub fn rank(&self, no: JobNo, task: crate::id::TaskIndex) -> Rank {
+        (self.ask.priority, self.latest, no, task)
+    }
+
+    /// The work of one task, in thousandths of a core times seconds.
+    pub fn task_work(&self) -> f64 {
+        self.ask.need.cpu as f64 * self.estimate.as_secs_f64()
+    }
+
     /// Opens a job whose tasks all wait.
     pub fn open(ask: Submission, now: time::Duration, estimate: time::Duration) -> Job {
         let task = Task {
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -146,6 +146,8 @@
     pub taken: u64,
     /// Room that nobody uses or waits for.
     pub free: Room,
+    /// How many entries share the agent.
+    pub sharers: u32,
     /// Who speaks; on the first line only.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hello: Option<Hello>,
@@ -169,7 +171,9 @@
     pub input: CompactString,
     /// Room that it takes.
     pub need: Room,
-    /// Smaller goes first where several wait.
+    /// Urgency of its class; 0 goes first where several wait.
+    pub priority: u32,
+    /// Within a priority, smaller goes first: the latest start that meets the target.
     pub urgency_ms: u64,
     /// When it must have ended, on the agent's clock.
     pub deadline_ms: u64,
--- a/src/decide/besteffort/mod.rs
+++ b/src/decide/besteffort/mod.rs
@@ -7,6 +7,7 @@
 //! long the backend server may go on by itself. `docs/design/besteffort.md` has the argument.
 
 pub mod board;
+pub mod flow;
 pub mod job;
 pub mod learn;
 pub mod lease;
--- a/src/decide/besteffort/place.rs
+++ b/src/decide/besteffort/place.rs
@@ -1,7 +1,7 @@
 //! Where a task goes, and how long it has to wait.
 //!
-//! Answers the usual load and bursts: work waits at the entry in the order of the latest start that
-//! still meets its target, and goes to an agent only when that has room, so that a worker that turns
+//! Answers the usual load and bursts: work waits at the entry by urgency of its class and
+//! then by the latest start that still meets its target, and goes to an agent only when that has room, so that a worker that turns
 //! slow holds no queue. Of the agents with room the one with the earliest expected end is taken.
 
 use std::time;
@@ -32,6 +32,15 @@
 /// Tasks at the head of the queue that may be passed over because nothing has room for them.
 const LOOK_AHEAD: usize = 4;
 
+/// Least part of an equal share of the workers that an entry counts on before its own starts tell.
+const LEAST_SHARE: f64 = 0.5;
+
+/// Least part of its rate that is left for a class by more urgent ones; keeps the wait finite.
+const LEAST_LEFT: f64 = 0.1;
+
+/// Longest wait that is told apart, in seconds.
+const MAX_WAIT: f64 = 60.0;
+
 impl Board {
     /// Whether a worker may run a job, room apart.
     pub(super) fn suits(&self, job: &Job, view: &View) -> bool {
@@ -40,25 +49,31 @@
         view.backend.service == ask.service && ask.requires.as_ref().is_none_or(labelled)
     }
 
-    /// How long a new job would wait for its first room, by the work that goes before it.
-    pub(super) fn wait(&self, _now: time::Duration, job: &Job) -> time::Duration {
+    /// How long a new job would wait until all its tasks have room, by the work that goes before it
+    /// and the rate at which room has come free for this entry lately.
+    pub(super) fn wait(&self, now: time::Duration, job: &Job) -> time::Duration {
         let there = self.agents.values().filter(|view| view.is_there());
         let fitting = there.filter(|view| self.suits(job, view));
-        let (mut rate, mut free) = (0.0, false);
+        let (mut share, mut free) = (0.0, 0);
         for view in fitting {
-            rate += view.backend.size.cpu as f64 / self.learned.slowness(&view.agent);
-            free |= view.free().fits(&job.ask.need);
+            let rate = view.backend.size.cpu as f64 / self.learned.slowness(&view.agent).max(1.0);
+            share += rate / f64::from(view.sharers);
+            free += view.free().cpu.max(0) / job.ask.need.cpu.max(1);
         }
-        let ahead = self.queue.range(..(job.latest, JobNo::MAX, 0));
-        let ahead: f64 = ahead
-            .filter_map(|(_, no, _)| self.jobs.get(no))
-            .map(|other| other.ask.need.cpu as f64 * other.estimate.as_secs_f64())
+        let own = job.rank(JobNo::MAX, 0);
+        let ahead: f64 = self
+            .queue
+            .range(..own)
+            .filter_map(|(.., no, _)| self.jobs.get(no))
+            .map(Job::task_work)
             .sum();
-        if rate <= 0.0 || (free && ahead == 0.0) {
+        if ahead == 0.0 && free > 0 {
             return time::Duration::ZERO;
         }
-        // Several entries share the agents alike, so each gets its part of their work.
-        time::Duration::from_secs_f64((ahead / rate * ENTRIES).min(60.0))
+        let rate = self.flow.starts(now).max(share * LEAST_SHARE);
+        let rate = (rate - self.flow.more_urgent(now, job.ask.priority)).max(rate * LEAST_LEFT);
+        let all = ahead + job.task_work() * f64::from(job.ask.tasks);
+        time::Duration::from_secs_f64((all / rate.max(1.0)).min(MAX_WAIT))
     }
 
     /// Sends what waits to the agents that have room.
@@ -81,7 +96,7 @@
                 return;
             };
             after = Some(key);
-            if !self.place(now, key.1, key.2) {
+            if !self.place(now, key.2, key.3) {
                 passed += 1;
             } else {
                 self.queue.remove(&key);
@@ -128,10 +143,13 @@
             run,
             input: job.ask.input.clone(),
             need: job.ask.need,
+            priority: job.ask.priority,
             urgency_ms: job.latest.as_millis() as u64,
             deadline_ms: job.ask.deadline.as_millis() as u64,
             patience_ms: PATIENCE.as_millis() as u64,
         };
+        let work = job.task_work();
+        self.flow.started(now, work);
         self.counts.starts += 1;
         self.actions.push(Action::Start(link, start));
         true
@@ -189,7 +207,3 @@
         cost + SPREAD * used * job.estimate.as_secs_f64()
     }
 }
-
-/// How many entries share the agents; three on today's deployments. Where there are more, the wait
-/// is underestimated and work is refused later than it could be.
-const ENTRIES: f64 = 3.0;
--- a/src/decide/besteffort/rescue.rs
+++ b/src/decide/besteffort/rescue.rs
@@ -91,12 +91,12 @@
         } else {
             projected / slowness
         };
-        let others = self.agents.values().filter(|v| {
-            v.agent != placed.agent
-                && v.takes(now)
-                && self.suits(job, v)
-                && v.free().fits(&job.ask.need)
-        });
+        let others = self
+            .agents
+            .values()
+            .filter(|v| v.agent != placed.agent && v.is_there() && self.suits(job, v));
+        // Where all are full a task goes to the head of the queue, and room comes free every few
+        // milliseconds.
         let best = others
             .map(|v| self.cost(job, v) / estimate * work)
             .fold(f64::INFINITY, f64::min);
--- a/src/decide/besteffort/slots.rs
+++ b/src/decide/besteffort/slots.rs
@@ -88,6 +88,14 @@
     percent_at: time::Duration,
 }
 
+impl Held {
+    /// The order in which starts wait for room.
+    fn rank(&self) -> (u32, u64, Run) {
+        let start = &self.start;
+        (start.priority, start.urgency_ms, start.run.clone())
+    }
+}
+
 #[derive(Debug, Default)]
 struct Entry {
     alive_until: time::Duration,
@@ -102,7 +110,7 @@
     backend: Backend,
     past: HashSet<CompactString>,
     held: BTreeMap<Run, Held>,
-    waiting: BTreeSet<(u64, Run)>,
+    waiting: BTreeSet<(u32, u64, Run)>,
     used: Room,
     entries: BTreeMap<EntryName, Entry>,
     orders: Vec<Order>,
@@ -188,7 +196,7 @@
         let waiting = self
             .waiting
             .iter()
-            .filter_map(|(_, run)| self.held.get(run));
+            .filter_map(|(.., run)| self.held.get(run));
         waiting.fold(self.backend.size.minus(&self.used), |free, held| {
             free.minus(&held.start.need)
         })
@@ -261,7 +269,7 @@
             percent_at: now,
             start,
         };
-        self.waiting.insert((held.start.urgency_ms, run.clone()));
+        self.waiting.insert(held.rank());
         self.held.insert(run.clone(), held);
         if !fresh {
             log::warn!(job = run.job.as_str(), task = run.task, run = run.number, entry = name.entry.as_str();
@@ -393,6 +401,7 @@
         let mut line = FromAgent {
             now_ms: now.as_millis() as u64,
             free: self.free(),
+            sharers: self.sharers(now),
             ..FromAgent::default()
         };
         if let Some(entry) = self.entries.get_mut(name) {
@@ -410,6 +419,11 @@
         line
     }
 
+    fn sharers(&self, now: time::Duration) -> u32 {
+        let alive = self.entries.values().filter(|e| now < e.alive_until);
+        alive.count() as u32
+    }
+
     /// Whether an entry has something to hear before the next heartbeat.
     pub fn has_news(&self, name: &EntryName) -> bool {
         let entry = self.entries.get(name);
@@ -455,7 +469,7 @@
             return;
         };
         if held.state == State::Waiting {
-            self.waiting.remove(&(held.start.urgency_ms, run.clone()));
+            self.waiting.remove(&held.rank());
         } else {
             self.used = self.used.minus(&held.start.need);
         }
@@ -475,14 +489,14 @@
     /// Starts what fits, and turns away what can't start here.
     fn pump(&mut self, now: time::Duration) {
         if !self.backend().takes_work {
-            let all: Vec<Run> = self.waiting.iter().map(|(_, run)| run.clone()).collect();
+            let all: Vec<Run> = self.waiting.iter().map(|(.., run)| run.clone()).collect();
             for run in all {
                 self.end(now, &run, How::NotRun);
             }
             return;
         }
         let ahead = self.waiting.iter().take(LOOK_AHEAD);
-        let ahead: Vec<Run> = ahead.map(|(_, run)| run.clone()).collect();
+        let ahead: Vec<Run> = ahead.map(|(.., run)| run.clone()).collect();
         for run in ahead {
             self.start_if_fits(now, &run);
         }
@@ -508,7 +522,7 @@
         held.state = State::Starting;
         held.since = now;
         self.used = self.used.plus(&held.start.need);
-        self.waiting.remove(&(held.start.urgency_ms, run.clone()));
+        self.waiting.remove(&held.rank());
         let input = held.start.input.clone();
         self.orders.push(Order::Start(run.clone(), input));
     }
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -37,6 +37,8 @@
     pub heard: time::Duration,
     /// Runs of ours that it has.
     pub runs: u32,
+    /// How many entries share it.
+    pub sharers: u32,
     free: Room,
     sent: u64,
     unread: VecDeque<(u64, Room)>,
@@ -57,6 +59,7 @@
             backend: Backend::default(),
             heard: now,
             runs: 0,
+            sharers: 1,
             free: Room::default(),
             sent: 0,
             unread: VecDeque::new(),
@@ -79,6 +82,7 @@
     pub fn heard(&mut self, now: time::Duration, line: &FromAgent) {
         self.heard = now;
         self.free = line.free;
+        self.sharers = line.sharers.max(1);
         while self.unread.front().is_some_and(|(n, _)| *n <= line.taken) {
             self.unread.pop_front();
         }
