Pass over late word about an earlier life of a backend server

The listing of its old life that was under way was answered 'another life' after runs had begun in the new one, and the agent gave those up; their tasks started elsewhere while they went on. Ruled out: the lease, which was renewed in time; a start without an answer (none in the log). Change: an answer counts only while the life that it was asked about is the one that is known; a new life's clock and lease are learnt anew, by a listing of its own. Test: a_late_word_of_the_old_life_ends_nothing_in_the_new_one, given up before, done after.

--- a/src/besteffort/agent.rs
+++ b/src/besteffort/agent.rs
@@ -154,7 +154,14 @@
     /// The backend server has announced itself.
     pub fn announced(&self, backend: Backend) {
         let now = clock::since_boot();
+        let before = lock(&self.inner.slots).instance();
         lock(&self.inner.slots).announced(now, backend);
+        if lock(&self.inner.slots).instance() != before {
+            // What is known of the clock and the lease is of the life before.
+            *lock(&self.inner.lease) = Lease::default();
+            let inner = self.inner.clone();
+            tokio::spawn(async move { list_once(&inner, time::Duration::ZERO).await });
+        }
         flush(&self.inner);
         tell_all(&self.inner);
     }
@@ -281,9 +288,15 @@
     let instance = lock(&inner.slots).instance();
     let clean = inner.clean.load(Ordering::Relaxed);
     let until = clean.then(|| lock(&inner.lease).renew(sent)).flatten();
-    let call = (inner.server.list)(instance, until, wait);
+    let call = (inner.server.list)(instance.clone(), until, wait);
     let answer = timeout(wait + LISTING_SLACK, call).await;
     let now = clock::since_boot();
+    // Word from or about an earlier life, which was under way when the next one announced itself,
+    // says nothing of what runs now. Taken for news, it ends runs that have just begun, and their
+    // tasks run twice.
+    if lock(&inner.slots).instance() != instance {
+        return false;
+    }
     let listed = match answer {
         Ok(Ok(listed)) => listed,
         Ok(Err(NoListing::AnotherLife)) => {
--- /dev/null
+++ b/tests/besteffort_agent.rs
@@ -0,0 +1,213 @@
+//! The agent of best-effort work, between an entry and a backend server that the test plays.
+
+mod support;
+
+use lovagemill::besteffort::agent::{self, Agent, NoListing};
+use lovagemill::decide::besteffort::message::{FromAgent, FromEntry, How};
+use lovagemill::decide::besteffort::slots::StartAnswer;
+
+use support::besteffort::{backend, listed, listen, run, Calls, FakeEntry, Running};
+
+fn open(calls: &Calls) -> Agent {
+    let cfg = agent::Config {
+        name: "agent".into(),
+        life: 1,
+        failure_domain: "domain".into(),
+    };
+    agent::spawn(cfg, calls.server())
+}
+
+/// A caller's approval runs twice. A backend server crashes and starts anew; the new life announces
+/// itself while the agent's listing of the old one is still under way. A run begins in the new life,
+/// and only then the old listing is answered: "another life". The agent took that for news, gave the
+/// run up, and the entry started its task elsewhere while it went on here.
+#[test]
+fn a_late_word_of_the_old_life_ends_nothing_in_the_new_one() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let agent = open(&calls);
+        let (listener, addr) = listen().await;
+        agent.entries(&[addr]);
+        let _ = calls
+            .list("")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
+        agent.announced(backend("old"));
+        let late = calls.list("old").await;
+        agent.announced(backend("new"));
+        let running = Running::default();
+        let listing = calls.keep_listing("new", &running);
+        let is_new = |line: &FromAgent| {
+            line.backend
+                .clone()
+                .filter(|b| b.takes_work && b.instance == "new")
+        };
+        entry.until(is_new).await;
+        entry.start(run("job", 0, 1)).await;
+        let (begun, answer) = calls.start().await;
+        running.lock().expect("no panic").push(begun.clone());
+        answer.send(StartAnswer::Accepted).expect("the agent waits");
+        let _ = late.send(Err(NoListing::AnotherLife));
+        // Long enough for the old listing to be taken in: a line that knows the run's progress, or
+        // one that gives the run up.
+        let told = |line: &FromAgent| {
+            let known = line.progress.iter().any(|p| p.percent == 50);
+            (known || !line.ended.is_empty()).then(|| line.ended.clone())
+        };
+        let ended = entry.until(told).await;
+        assert!(ended.is_empty(), "given up: {ended:?}");
+        listing.abort();
+        let _ = calls
+            .list("new")
+            .await
+            .send(Ok(listed(Vec::new(), vec![(begun, How::Done)])));
+        let how = entry
+            .until(|line| line.ended.first().map(|end| end.how))
+            .await;
+        assert_eq!(how, How::Done);
+    });
+}
+
+/// Two runs of one task. An agent is killed and started again at once, while the backend server
+/// still works under the lease of its first life. If the new agent told the entry that nothing runs
+/// here, the entry would start the task elsewhere.
+#[test]
+fn a_new_agent_ends_what_an_earlier_one_left_before_it_speaks() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let agent = open(&calls);
+        let (listener, addr) = listen().await;
+        agent.entries(&[addr]);
+        let left = run("job", 0, 1);
+        let first = calls.list("").await;
+        let _ = first.send(Ok(listed(vec![(left.clone(), 10)], Vec::new())));
+        let (stopped, answer) = calls.stop().await;
+        assert_eq!(stopped, left);
+        answer.send(true).expect("the agent waits");
+        let (renews, next) = calls
+            .next("a listing", |call| match call {
+                support::besteffort::Call::List(_, renews, tx) => Ok((renews, tx)),
+                other => Err(other),
+            })
+            .await;
+        assert!(!renews, "the lease of what is left isn't renewed");
+        let _ = next.send(Ok(listed(Vec::new(), Vec::new())));
+        let (_, hello) = FakeEntry::accept(&listener, 1).await;
+        assert!(hello.hello.expect("the first line").runs.is_empty());
+    });
+}
+
+/// A caller resubmits through another entry, and its task runs twice: the first entry was frozen or
+/// cut off, and its agent went on for it. The agent ends the runs of an entry that doesn't repeat
+/// its clock any more, also while the link seems to be up.
+#[test]
+fn runs_of_a_silent_entry_are_stopped() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let agent = open(&calls);
+        let (listener, addr) = listen().await;
+        agent.entries(&[addr]);
+        let _ = calls
+            .list("")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
+        agent.announced(backend("life"));
+        let _ = calls
+            .list("life")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        entry
+            .until(|line| line.backend.clone().filter(|b| b.takes_work))
+            .await;
+        entry.start(run("job", 0, 1)).await;
+        let (begun, answer) = calls.start().await;
+        answer.send(StartAnswer::Accepted).expect("the agent waits");
+        let running = Running::default();
+        running.lock().expect("no panic").push(begun.clone());
+        let _listing = calls.keep_listing("life", &running);
+        // The entry says nothing from here on, and its connection stays open.
+        let (stopped, _) = calls.stop().await;
+        assert_eq!(stopped, begun);
+    });
+}
+
+/// A task runs though its caller has long been answered: the network held a start back for seconds
+/// and then delivered it. The agent's clock in it tells how old it is.
+#[test]
+fn a_start_that_was_held_back_doesn_t_run() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let agent = open(&calls);
+        let (listener, addr) = listen().await;
+        agent.entries(&[addr]);
+        let _ = calls
+            .list("")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
+        agent.announced(backend("life"));
+        let _ = calls
+            .list("life")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        entry
+            .until(|line| line.backend.clone().filter(|b| b.takes_work))
+            .await;
+        entry.seen_ms = entry.seen_ms.saturating_sub(5_000);
+        entry.start(run("late", 0, 1)).await;
+        let end = entry.until(|line| line.ended.first().cloned()).await;
+        assert_eq!((end.run.job.as_str(), end.how), ("late", How::NotRun));
+    });
+}
+
+/// A caller waits in vain after a reset connection: the end of its task was on the link that broke.
+/// The agent repeats what ended, and what it still has, on the next link of the same entry.
+#[test]
+fn ends_that_a_broken_link_lost_are_repeated() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let agent = open(&calls);
+        let (listener, addr) = listen().await;
+        agent.entries(&[addr]);
+        let _ = calls
+            .list("")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
+        agent.announced(backend("life"));
+        let _ = calls
+            .list("life")
+            .await
+            .send(Ok(listed(Vec::new(), Vec::new())));
+        entry
+            .until(|line| line.backend.clone().filter(|b| b.takes_work))
+            .await;
+        let line = FromEntry {
+            starts: vec![
+                support::besteffort::start(run("job", 0, 1), entry.seen_ms),
+                support::besteffort::start(run("job", 1, 2), entry.seen_ms),
+            ],
+            ..FromEntry::default()
+        };
+        entry.say(line).await;
+        for _ in 0..2 {
+            let (_, answer) = calls.start().await;
+            answer.send(StartAnswer::Accepted).expect("the agent waits");
+        }
+        let ends = vec![(run("job", 0, 1), How::Done)];
+        let still = vec![(run("job", 1, 2), 10)];
+        let _ = calls.list("life").await.send(Ok(listed(still, ends)));
+        entry.until(|line| line.ended.first().cloned()).await;
+        drop(entry);
+        let running = Running::default();
+        running.lock().expect("no panic").push(run("job", 1, 2));
+        let _listing = calls.keep_listing("life", &running);
+        let (_, hello) = FakeEntry::accept(&listener, 1).await;
+        let hello = hello.hello.expect("the first line");
+        assert_eq!(hello.runs, [run("job", 1, 2)]);
+        let ended: Vec<_> = hello.ended.iter().map(|end| (&end.run, end.how)).collect();
+        assert_eq!(ended, [(&run("job", 0, 1), How::Done)]);
+    });
+}
--- /dev/null
+++ b/tests/support/besteffort.rs
@@ -0,0 +1,258 @@
+//! An entry played by a test, and a backend server whose answers the test gives, for agents of
+//! best-effort work.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time;
+
+use compact_str::CompactString;
+use lovagemill::besteffort::agent::{Answer, BackendServer, Listed, NoListing};
+use lovagemill::besteffort::line;
+use lovagemill::clock;
+use lovagemill::decide::besteffort::message::{
+    Backend, EntryName, FromAgent, FromEntry, Room, Run, Start,
+};
+use lovagemill::decide::besteffort::slots::{Listing, StartAnswer};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+/// Room for one task of the tests.
+pub const NEED: Room = Room {
+    cpu: 1_000,
+    memory_mb: 10,
+    accelerators: 0,
+};
+
+/// One call of the agent that the test answers.
+pub enum Call {
+    /// A listing of a life, whether it renews the lease, and the way to answer it.
+    List(
+        CompactString,
+        bool,
+        oneshot::Sender<Result<Listed, NoListing>>,
+    ),
+    /// A start in a life.
+    Start(CompactString, Run, oneshot::Sender<StartAnswer>),
+    /// A stop in a life.
+    Stop(CompactString, Run, oneshot::Sender<bool>),
+}
+
+/// What runs on a backend server.
+pub type Running = Arc<Mutex<Vec<Run>>>;
+
+/// The calls that wait for an answer.
+#[derive(Clone, Default)]
+pub struct Calls(Arc<Mutex<VecDeque<Call>>>);
+
+impl Calls {
+    fn push(&self, call: Call) {
+        self.0.lock().expect("no test panics here").push_back(call);
+    }
+
+    /// Waits for a call that `wanted` takes, leaving the others where they are.
+    pub async fn next<T>(&self, what: &str, wanted: impl Fn(Call) -> Result<T, Call>) -> T {
+        let deadline = tokio::time::Instant::now() + super::HANG;
+        loop {
+            {
+                let mut calls = self.0.lock().expect("no test panics here");
+                for _ in 0..calls.len() {
+                    let call = calls.pop_front().expect("counted above");
+                    match wanted(call) {
+                        Ok(found) => return found,
+                        Err(other) => calls.push_back(other),
+                    }
+                }
+            }
+            assert!(tokio::time::Instant::now() < deadline, "never: {what}");
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+    }
+
+    /// Waits for a listing of a life and returns the way to answer it.
+    pub async fn list(&self, life: &str) -> oneshot::Sender<Result<Listed, NoListing>> {
+        self.next("a listing", |call| match call {
+            Call::List(of, _, tx) if of == life => Ok(tx),
+            other => Err(other),
+        })
+        .await
+    }
+
+    /// Waits for a start and returns its run and the way to answer it.
+    pub async fn start(&self) -> (Run, oneshot::Sender<StartAnswer>) {
+        self.next("a start", |call| match call {
+            Call::Start(_, run, tx) => Ok((run, tx)),
+            other => Err(other),
+        })
+        .await
+    }
+
+    /// Waits for a stop and returns its run and the way to answer it.
+    pub async fn stop(&self) -> (Run, oneshot::Sender<bool>) {
+        self.next("a stop", |call| match call {
+            Call::Stop(_, run, tx) => Ok((run, tx)),
+            other => Err(other),
+        })
+        .await
+    }
+
+    /// Answers every listing of a life from now on, as a backend server with these runs does.
+    pub fn keep_listing(&self, life: &'static str, running: &Running) -> JoinHandle<()> {
+        let (calls, running) = (self.clone(), running.clone());
+        tokio::spawn(async move {
+            loop {
+                let tx = calls.list(life).await;
+                let now = running.lock().expect("no test panics here").clone();
+                let now = now.into_iter().map(|run| (run, 50)).collect();
+                // The agent may have given the call up.
+                let _ = tx.send(Ok(listed(now, Vec::new())));
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
+            }
+        })
+    }
+
+    /// The backend server that the agent speaks to.
+    pub fn server(&self) -> BackendServer {
+        let (start, stop, list) = (self.clone(), self.clone(), self.clone());
+        BackendServer {
+            start: Box::new(move |life, run, _, _| -> Answer<StartAnswer> {
+                let (tx, rx) = oneshot::channel();
+                start.push(Call::Start(life, run, tx));
+                Box::pin(async move { rx.await.unwrap_or(StartAnswer::Unknown) })
+            }),
+            stop: Box::new(move |life, run| -> Answer<bool> {
+                let (tx, rx) = oneshot::channel();
+                stop.push(Call::Stop(life, run, tx));
+                Box::pin(async move { rx.await.unwrap_or(false) })
+            }),
+            list: Box::new(move |life, until, _| -> Answer<Result<Listed, NoListing>> {
+                let (tx, rx) = oneshot::channel();
+                list.push(Call::List(life, until.is_some(), tx));
+                Box::pin(async move { rx.await.unwrap_or(Err(NoListing::Silent)) })
+            }),
+        }
+    }
+}
+
+/// A listing on the test's clock.
+pub fn listed(
+    running: Vec<(Run, u8)>,
+    ended: Vec<(Run, lovagemill::decide::besteffort::message::How)>,
+) -> Listed {
+    Listed {
+        clock_ms: clock::since_boot().as_millis() as u64,
+        listing: Listing { running, ended },
+    }
+}
+
+/// A life of a backend server that takes work.
+pub fn backend(life: &str) -> Backend {
+    Backend {
+        instance: life.into(),
+        service: "svc".into(),
+        labels: Vec::new(),
+        size: Room {
+            cpu: 4_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        takes_work: true,
+    }
+}
+
+/// A run of a job's task.
+pub fn run(job: &str, task: u32, number: u64) -> Run {
+    Run {
+        job: job.into(),
+        task,
+        number,
+    }
+}
+
+/// A start that may take as long as a test.
+pub fn start(run: Run, now_ms: u64) -> Start {
+    Start {
+        run,
+        input: "input".into(),
+        need: NEED,
+        priority: 0,
+        urgency_ms: now_ms,
+        deadline_ms: now_ms + 60_000,
+        patience_ms: 60_000,
+    }
+}
+
+/// An entry whose lines the test writes.
+pub struct FakeEntry {
+    reader: line::Reader,
+    writer: line::Writer,
+    /// The agent's clock as last heard.
+    pub seen_ms: u64,
+}
+
+/// Listens where a test's entry is.
+pub async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    (listener, addr)
+}
+
+impl FakeEntry {
+    /// Takes an agent's next link.
+    pub async fn accept(listener: &TcpListener, life: u64) -> (FakeEntry, FromAgent) {
+        let (stream, _) = listener.accept().await.expect("an agent connects");
+        let (reader, writer) = line::open(stream).expect("a socket");
+        let mut entry = FakeEntry {
+            reader,
+            writer,
+            seen_ms: 0,
+        };
+        let name = EntryName {
+            entry: "entry".into(),
+            life,
+        };
+        let first = FromEntry {
+            entry: Some(name),
+            ..FromEntry::default()
+        };
+        entry.writer.write(&first).await.expect("the link is up");
+        let hello = entry.read().await;
+        (entry, hello)
+    }
+
+    /// Reads a line, and says that it was heard.
+    pub async fn read(&mut self) -> FromAgent {
+        let line: FromAgent = self.reader.read().await.expect("the link is up");
+        self.seen_ms = line.now_ms;
+        self.say(FromEntry::default()).await;
+        line
+    }
+
+    /// Reads until `found` finds what it looks for.
+    pub async fn until<T>(&mut self, found: impl Fn(&FromAgent) -> Option<T>) -> T {
+        loop {
+            let line = self.read().await;
+            if let Some(found) = found(&line) {
+                return found;
+            }
+        }
+    }
+
+    /// Writes a line with the agent's clock.
+    pub async fn say(&mut self, mut line: FromEntry) {
+        line.seen_ms = self.seen_ms;
+        // A link that the agent has closed shows at the next read.
+        let _ = self.writer.write(&line).await;
+    }
+
+    /// Sends a start.
+    pub async fn start(&mut self, run: Run) {
+        let starts = vec![start(run, self.seen_ms)];
+        let line = FromEntry {
+            starts,
+            ..FromEntry::default()
+        };
+        self.say(line).await;
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod besteffort;
 pub mod memory;
 pub mod path;
 pub mod script;
