--- a/src/besteffort/agent.rs
+++ b/src/besteffort/agent.rs
@@ -20,7 +20,7 @@
 
 use crate::besteffort::line;
 use crate::clock;
-use crate::decide::besteffort::lease::{self, Lease};
+use crate::decide::besteffort::lease::{self, Bounds, Lease};
 use crate::decide::besteffort::message::{Backend, EntryName, FromAgent, FromEntry, Run};
 use crate::decide::besteffort::slots::{Listing, Order, Slots, StartAnswer};
 use crate::id;
@@ -37,15 +37,15 @@
 /// How long past that a listing's answer may take before it counts as lost.
 const LISTING_SLACK: time::Duration = time::Duration::from_millis(200);
 
-/// Age of the last confirmed renewal at which one more is sent on its own; the listing that should
-/// have brought it is late.
-const RENEW_AGAIN: time::Duration = time::Duration::from_millis(260);
+/// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
+/// listing that should have brought it is late.
+const RENEW_AGAIN: f64 = 0.4;
 
 /// Pause after a listing that failed.
 const LISTING_PAUSE: time::Duration = time::Duration::from_millis(100);
 
-/// Silence of the backend server after which nothing new is sent to it.
-const UNREACHED: time::Duration = time::Duration::from_millis(450);
+/// Part of the lease for which the backend server may be silent before nothing new is sent to it.
+const UNREACHED: f64 = 0.7;
 
 /// Longest that a connect to an entry may take; several round trips between failure domains.
 const CONNECT: time::Duration = time::Duration::from_millis(500);
@@ -101,6 +101,8 @@
     pub life: id::Incarnation,
     /// Its failure domain.
     pub failure_domain: CompactString,
+    /// The time bounds that it keeps.
+    pub bounds: Bounds,
 }
 
 struct Inner {
@@ -137,10 +139,10 @@
 /// Starts an agent that has no links yet. It first ends whatever an earlier life left running.
 pub fn spawn(cfg: Config, server: BackendServer) -> Agent {
     let inner = Arc::new(Inner {
+        slots: Mutex::new(Slots::open(cfg.bounds)),
+        lease: Mutex::new(Lease::open(cfg.bounds)),
         cfg,
         server,
-        slots: Mutex::default(),
-        lease: Mutex::default(),
         links: Mutex::default(),
         work: Notify::new(),
         clean: AtomicBool::new(false),
@@ -158,7 +160,7 @@
         lock(&self.inner.slots).announced(now, backend);
         if lock(&self.inner.slots).instance() != before {
             // What is known of the clock and the lease is of the life before.
-            *lock(&self.inner.lease) = Lease::default();
+            *lock(&self.inner.lease) = Lease::open(self.inner.cfg.bounds);
             let inner = self.inner.clone();
             tokio::spawn(async move { list_once(&inner, time::Duration::ZERO).await });
         }
@@ -230,12 +232,13 @@
 
 async fn tick(inner: Arc<Inner>) {
     let mut last = clock::since_boot();
-    let lapsed = last + lease::lapse();
+    let bounds = inner.cfg.bounds;
+    let lapsed = last + bounds.lapse();
     loop {
         let idle = lock(&inner.slots).is_idle();
         sleep(if idle { IDLE_TICK } else { TICK }).await;
         let now = clock::since_boot();
-        if now - last > lease::SILENCE {
+        if now - last > bounds.silence {
             log::warn!(ms = (now - last).as_millis() as u64; "this process stood still");
         }
         last = now;
@@ -244,7 +247,7 @@
         }
         renew_if_late(&inner, now);
         let over = lock(&inner.lease).lapsed(now);
-        let silent = lock(&inner.lease).silent(now, UNREACHED);
+        let silent = lock(&inner.lease).silent(now, bounds.lease.mul_f64(UNREACHED));
         {
             let mut slots = lock(&inner.slots);
             if silent {
@@ -262,7 +265,7 @@
 
 fn renew_if_late(inner: &Arc<Inner>, now: time::Duration) {
     let working = lock(&inner.slots).is_working();
-    if working && lock(&inner.lease).overdue(now, RENEW_AGAIN) {
+    if working && lock(&inner.lease).overdue(now, inner.cfg.bounds.lease.mul_f64(RENEW_AGAIN)) {
         let inner = inner.clone();
         tokio::spawn(async move {
             let _ = list_once(&inner, time::Duration::ZERO).await;
@@ -426,7 +429,7 @@
     writer.write(&line).await?;
     set_link(inner, addr, |link| link.name = Some(name));
     let mut heard = clock::since_boot();
-    let mut beat = interval(lease::HEARTBEAT);
+    let mut beat = interval(inner.cfg.bounds.heartbeat);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
@@ -439,7 +442,7 @@
             }
             _ = beat.tick() => {
                 writer.write(&talk.line()).await?;
-                if clock::since_boot() - heard > lease::SILENCE {
+                if clock::since_boot() - heard > inner.cfg.bounds.silence {
                     return Err(io::ErrorKind::TimedOut.into());
                 }
             }
--- a/src/besteffort/entry.rs
+++ b/src/besteffort/entry.rs
@@ -18,7 +18,7 @@
 use crate::clock;
 use crate::decide::besteffort::board::{Action, Admitted, Board, Counts};
 use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Submission};
-use crate::decide::besteffort::lease;
+use crate::decide::besteffort::lease::Bounds;
 use crate::decide::besteffort::message::{EntryName, FromAgent, FromEntry};
 
 /// How often time bounds are looked at.
@@ -40,6 +40,8 @@
     pub failure_domain: CompactString,
     /// Where agents connect.
     pub links: SocketAddr,
+    /// The time bounds that it keeps.
+    pub bounds: Bounds,
 }
 
 struct Inner {
@@ -79,7 +81,7 @@
     let listener = TcpListener::bind(cfg.links).await?;
     let addr = listener.local_addr()?;
     let inner = Arc::new(Inner {
-        board: Mutex::new(Board::open(&cfg.failure_domain)),
+        board: Mutex::new(Board::open(&cfg.failure_domain, cfg.bounds)),
         cfg,
         links: Mutex::default(),
         callers: Mutex::default(),
@@ -290,7 +292,7 @@
     let hello: FromAgent = timeout(HELLO, reader.read()).await.map_err(late)??;
     let mut seen = Seen::default();
     take(inner, no, &mut seen, hello);
-    let mut beat = interval(lease::HEARTBEAT);
+    let mut beat = interval(inner.cfg.bounds.heartbeat);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -12,7 +12,7 @@
     Job, JobNo, LinkNo, NotRun, Outcome, Placed, Rank, State, Submission, Task,
 };
 use crate::decide::besteffort::learn::Learned;
-use crate::decide::besteffort::lease;
+use crate::decide::besteffort::lease::Bounds;
 use crate::decide::besteffort::message::{Ended, FromAgent, Hello, How, JobId, Run, Start};
 use crate::decide::besteffort::view::View;
 use crate::id;
@@ -76,6 +76,7 @@
 /// The state of an entry.
 #[derive(Debug, Default)]
 pub struct Board {
+    bounds: Bounds,
     pub(super) agents: BTreeMap<id::AgentId, View>,
     pub(super) jobs: HashMap<JobNo, Job>,
     pub(super) queue: BTreeSet<Rank>,
@@ -106,8 +107,9 @@
 
 impl Board {
     /// Opens a board for an entry in a failure domain.
-    pub fn open(domain: &str) -> Board {
+    pub fn open(domain: &str, bounds: Bounds) -> Board {
         Board {
+            bounds,
             domain: domain.into(),
             ..Board::default()
         }
@@ -286,7 +288,7 @@
         self.dispatch(now);
     }
 
-    /// The link to an agent is gone. Its runs may go on until the bound in [`lease::abandoned`].
+    /// The link to an agent is gone. Its runs may go on until [`Bounds::abandoned`].
     pub fn agent_down(&mut self, now: time::Duration, link: LinkNo) {
         let Some(agent) = self.links.remove(&link) else {
             return;
@@ -433,7 +435,7 @@
         let silent = self
             .agents
             .values()
-            .filter(|v| now.saturating_sub(v.heard) > lease::SILENCE);
+            .filter(|v| now.saturating_sub(v.heard) > self.bounds.silence);
         let silent: Vec<LinkNo> = silent.filter_map(|view| view.link).collect();
         for link in silent {
             self.actions.push(Action::Close(link));
@@ -444,7 +446,7 @@
     /// Takes back the runs of agents that have been away for so long that nothing runs there.
     fn settle_doubts(&mut self, now: time::Duration) {
         let away = self.agents.values().filter(|view| view.link.is_none());
-        let over = away.filter(|v| now.saturating_sub(v.heard) > lease::abandoned());
+        let over = away.filter(|v| now.saturating_sub(v.heard) > self.bounds.abandoned());
         let over: Vec<id::AgentId> = over.map(|view| view.agent.clone()).collect();
         for agent in over {
             self.settle_runs(now, &agent, |_| false);
--- a/src/decide/besteffort/lease.rs
+++ b/src/decide/besteffort/lease.rs
@@ -30,19 +30,44 @@
 /// How often each side of a link says that it lives, where nothing else was sent.
 pub const HEARTBEAT: time::Duration = time::Duration::from_millis(120);
 
-/// Longest that a backend server goes on after the agent's last word to it.
-pub fn lapse() -> time::Duration {
-    LEASE.mul_f64(SLOW_CLOCK) + STOP
+/// The bounds that a system runs with. Tests that don't ask about time take them longer, so that a
+/// busy machine changes no verdict.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Bounds {
+    /// See [`SILENCE`].
+    pub silence: time::Duration,
+    /// See [`LEASE`].
+    pub lease: time::Duration,
+    /// See [`HEARTBEAT`].
+    pub heartbeat: time::Duration,
 }
 
-/// Longest that a run goes on after the entry's last word that reached its agent.
-pub fn abandoned() -> time::Duration {
-    SILENCE + lapse() + SLACK
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds {
+            silence: SILENCE,
+            lease: LEASE,
+            heartbeat: HEARTBEAT,
+        }
+    }
+}
+
+impl Bounds {
+    /// Longest that a backend server goes on after the agent's last word to it.
+    pub fn lapse(&self) -> time::Duration {
+        self.lease.mul_f64(SLOW_CLOCK) + STOP
+    }
+
+    /// Longest that a run goes on after the entry's last word that reached its agent.
+    pub fn abandoned(&self) -> time::Duration {
+        self.silence + self.lapse() + SLACK
+    }
 }
 
 /// The lease that an agent holds on its backend server.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Lease {
+    bounds: Bounds,
     /// The other clock minus ours at the last answer; it may only be late by the way back.
     offset: Option<i64>,
     /// Until when the backend server may go on, on our clock; from the latest order that was sent.
@@ -53,12 +78,23 @@
     answered: time::Duration,
 }
 
-/// How long after the last answered renewal further ones still lengthen the lease. Where the
+/// Part of the lease for which renewals go on lengthening it after the last answered one. Where the
 /// backend server is silent for longer, its lease must run out, so that it is known when its runs
 /// have ended.
-const UNCONFIRMED: time::Duration = time::Duration::from_millis(500);
+const UNCONFIRMED: f64 = 0.75;
 
 impl Lease {
+    /// Opens the lease on a life of a backend server that hasn't been heard.
+    pub fn open(bounds: Bounds) -> Lease {
+        Lease {
+            bounds,
+            offset: None,
+            granted: time::Duration::ZERO,
+            confirmed: time::Duration::ZERO,
+            answered: time::Duration::ZERO,
+        }
+    }
+
     /// Takes in the backend server's clock, as an answer brought it.
     pub fn heard(&mut self, sent: time::Duration, now: time::Duration, clock_ms: u64) {
         let offset = clock_ms as i64 - now.as_millis() as i64;
@@ -71,16 +107,16 @@
     /// known, and none while it is silent.
     pub fn renew(&mut self, now: time::Duration) -> Option<u64> {
         let offset = self.offset?;
-        if now > self.confirmed + UNCONFIRMED {
+        if now > self.confirmed + self.bounds.lease.mul_f64(UNCONFIRMED) {
             return None;
         }
-        self.granted = now + LEASE;
+        self.granted = now + self.bounds.lease;
         Some((self.granted.as_millis() as i64 + offset).max(1) as u64)
     }
 
     /// Whether everything on the backend server has ended for want of a lease.
     pub fn lapsed(&self, now: time::Duration) -> bool {
-        now > self.granted + STOP + LEASE.mul_f64(SLOW_CLOCK - 1.0)
+        now > self.granted + self.bounds.lapse() - self.bounds.lease
     }
 
     /// Whether the backend server has been silent for so long.
--- a/src/decide/besteffort/slots.rs
+++ b/src/decide/besteffort/slots.rs
@@ -10,7 +10,7 @@
 
 use compact_str::CompactString;
 
-use crate::decide::besteffort::lease;
+use crate::decide::besteffort::lease::Bounds;
 use crate::decide::besteffort::message::{
     Backend, Ended, EntryName, FromAgent, Hello, How, Progress, Room, Run, Start,
 };
@@ -105,8 +105,9 @@
 }
 
 /// The state of an agent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Slots {
+    bounds: Bounds,
     backend: Backend,
     past: HashSet<CompactString>,
     held: BTreeMap<Run, Held>,
@@ -124,6 +125,22 @@
 }
 
 impl Slots {
+    /// Opens the state of an agent that knows no backend server and no entry.
+    pub fn open(bounds: Bounds) -> Slots {
+        Slots {
+            bounds,
+            backend: Backend::default(),
+            past: HashSet::new(),
+            held: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            used: Room::default(),
+            entries: BTreeMap::new(),
+            orders: Vec::new(),
+            stopping: false,
+            reached: false,
+        }
+    }
+
     /// Takes in what the backend server says of itself. The first word of another life ends all
     /// that ran in the one before; a late word of an earlier life is passed over.
     pub fn announced(&mut self, now: time::Duration, backend: Backend) {
@@ -231,7 +248,7 @@
         let entry = self.entries.entry(name.clone()).or_default();
         entry.ended.clear();
         entry.heard = now;
-        entry.alive_until = now + lease::SILENCE;
+        entry.alive_until = now + self.bounds.silence;
         let ended = entry.kept.iter().cloned().collect();
         let runs = self.held.iter().filter(|(_, held)| held.entry == *name);
         Hello {
@@ -245,7 +262,7 @@
 
     /// An entry has repeated our clock. Whether the word is fresh enough to act on.
     pub fn heard(&mut self, now: time::Duration, name: &EntryName, seen_ms: u64) -> bool {
-        let until = millis(seen_ms) + lease::SILENCE;
+        let until = millis(seen_ms) + self.bounds.silence;
         if let Some(entry) = self.entries.get_mut(name) {
             entry.alive_until = entry.alive_until.max(until);
             entry.heard = now;
--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -2,17 +2,30 @@
 
 mod support;
 
+use std::time;
+
 use lovagemill::besteffort::agent::{self, Agent, NoListing};
+use lovagemill::decide::besteffort::lease::Bounds;
 use lovagemill::decide::besteffort::message::{FromAgent, FromEntry, How};
 use lovagemill::decide::besteffort::slots::StartAnswer;
 
 use support::besteffort::{backend, listed, listen, run, Calls, FakeEntry, Running};
 
+/// Bounds that only the fake's own silence exceeds, on however busy a machine.
+fn patient() -> Bounds {
+    Bounds {
+        silence: time::Duration::from_secs(4),
+        lease: time::Duration::from_secs(8),
+        ..Bounds::default()
+    }
+}
+
 fn open(calls: &Calls) -> Agent {
     let cfg = agent::Config {
         name: "agent".into(),
         life: 1,
         failure_domain: "domain".into(),
+        bounds: patient(),
     };
     agent::spawn(cfg, calls.server())
 }
