--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -34,7 +34,7 @@
 /// Share of a job's slack that may be expected to pass in the queue. Under lasting overload the wait
 /// settles at this bound; run times scatter by 0.4, and a task that starts at the very end of its
 /// slack is late every other time.
-const ADMITTED: f64 = 0.6;
+const ADMITTED: f64 = 0.8;
 
 /// Share of its slack after which a job of which nothing was started is refused after all, because
 /// the wait turned out longer than expected. What would be late holds up what needn't be.
@@ -151,7 +151,8 @@
         if !there.any(|v| self.suits(job, v) && v.backend.size.fits(&job.ask.need)) {
             return Some((NotRun::NoFit, RETRY_NO_WORKER));
         }
-        let wait = self.wait(now, job);
+        let forecast = self.forecast(now, job);
+        let wait = forecast.wait;
         let end = now + wait + job.estimate;
         if let Some((last, by)) = self.stopping {
             if now > last || end + job.estimate > by {
@@ -160,6 +161,9 @@
         }
         let slack = job.latest.saturating_sub(now);
         if end > job.ask.deadline || wait > slack.mul_f64(ADMITTED) {
+            log::info!(job = job.ask.job.as_str(), wait_ms = wait.as_millis() as u64,
+                slack_ms = slack.as_millis() as u64, ahead = forecast.ahead as u64,
+                rate = forecast.rate as u64, room = forecast.room; "job would be late");
             return Some((NotRun::Overloaded, wait));
         }
         None
--- a/src/decide/besteffort/place.rs
+++ b/src/decide/besteffort/place.rs
@@ -33,7 +33,7 @@
 const LOOK_AHEAD: usize = 4;
 
 /// Least part of an equal share of the workers that an entry counts on before its own starts tell.
-const LEAST_SHARE: f64 = 0.5;
+const LEAST_SHARE: f64 = 0.9;
 
 /// Least part of its rate that is left for a class by more urgent ones; keeps the wait finite.
 const LEAST_LEFT: f64 = 0.1;
@@ -41,6 +41,19 @@
 /// Longest wait that is told apart, in seconds.
 const MAX_WAIT: f64 = 60.0;
 
+/// What a job has to expect.
+#[derive(Clone, Copy, Debug)]
+pub struct Forecast {
+    /// How long its last task waits for room.
+    pub wait: time::Duration,
+    /// Work that goes before it.
+    pub ahead: f64,
+    /// Work that is started a second, less what is more urgent.
+    pub rate: f64,
+    /// Tasks like its own that fit somewhere now.
+    pub room: i64,
+}
+
 impl Board {
     /// Whether a worker may run a job, room apart.
     pub(super) fn suits(&self, job: &Job, view: &View) -> bool {
@@ -51,7 +64,7 @@
 
     /// How long a new job would wait until all its tasks have room, by the work that goes before it
     /// and the rate at which room has come free for this entry lately.
-    pub(super) fn wait(&self, now: time::Duration, job: &Job) -> time::Duration {
+    pub(super) fn forecast(&self, now: time::Duration, job: &Job) -> Forecast {
         let there = self.agents.values().filter(|view| view.is_there());
         let fitting = there.filter(|view| self.suits(job, view));
         let (mut share, mut free) = (0.0, 0);
@@ -67,13 +80,21 @@
             .filter_map(|(.., no, _)| self.jobs.get(no))
             .map(Job::task_work)
             .sum();
+        let mut forecast = Forecast {
+            wait: time::Duration::ZERO,
+            ahead,
+            rate: 0.0,
+            room: free,
+        };
         if ahead == 0.0 && free > 0 {
-            return time::Duration::ZERO;
+            return forecast;
         }
         let rate = self.flow.starts(now).max(share * LEAST_SHARE);
-        let rate = (rate - self.flow.more_urgent(now, job.ask.priority)).max(rate * LEAST_LEFT);
+        let urgent = self.flow.more_urgent(now, job.ask.priority);
+        forecast.rate = (rate - urgent).max(rate * LEAST_LEFT).max(1.0);
         let all = ahead + job.task_work() * f64::from(job.ask.tasks);
-        time::Duration::from_secs_f64((all / rate.max(1.0)).min(MAX_WAIT))
+        forecast.wait = time::Duration::from_secs_f64((all / forecast.rate).min(MAX_WAIT));
+        forecast
     }
 
     /// Sends what waits to the agents that have room.
