The lease covers a run from its order on

A start that was about to leave had not renewed it, the next look at the time bounds found a run without a lease and gave it up, and its task started elsewhere. Ruled out: a listing of another life (none in the log), the 2% of a slow clock. Change: the lease is part of the slots, renewed in the same step that orders a start. Stops of runs that nobody asked for are sent every 150 ms, not with every listing (five in 50 ms before).

--- a/src/besteffort/agent.rs
+++ b/src/besteffort/agent.rs
@@ -20,7 +20,7 @@
 
 use crate::besteffort::line;
 use crate::clock;
-use crate::decide::besteffort::lease::{self, Bounds, Lease};
+use crate::decide::besteffort::lease::{self, Bounds};
 use crate::decide::besteffort::message::{Backend, EntryName, FromAgent, FromEntry, Run};
 use crate::decide::besteffort::slots::{Listing, Order, Slots, StartAnswer};
 use crate::id;
@@ -37,16 +37,9 @@
 /// How long past that a listing's answer may take before it counts as lost.
 const LISTING_SLACK: time::Duration = time::Duration::from_millis(200);
 
-/// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
-/// listing that should have brought it is late.
-const RENEW_AGAIN: f64 = 0.4;
-
 /// Pause after a listing that failed.
 const LISTING_PAUSE: time::Duration = time::Duration::from_millis(100);
 
-/// Part of the lease for which the backend server may be silent before nothing new is sent to it.
-const UNREACHED: f64 = 0.7;
-
 /// Longest that a connect to an entry may take; several round trips between failure domains.
 const CONNECT: time::Duration = time::Duration::from_millis(500);
 
@@ -56,15 +49,6 @@
 /// A boxed future, as the closures of [`BackendServer`] return it.
 pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
-/// What a listing brings.
-#[derive(Debug)]
-pub struct Listed {
-    /// The backend server's clock, in milliseconds.
-    pub clock_ms: u64,
-    /// What it has.
-    pub listing: Listing,
-}
-
 /// Why a listing brought nothing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoListing {
@@ -86,7 +70,7 @@
     /// long. The first argument is the life that is meant, empty for any.
     #[allow(clippy::type_complexity)]
     pub list: Box<
-        dyn Fn(CompactString, Option<u64>, time::Duration) -> Answer<Result<Listed, NoListing>>
+        dyn Fn(CompactString, Option<u64>, time::Duration) -> Answer<Result<Listing, NoListing>>
             + Send
             + Sync,
     >,
@@ -109,7 +93,6 @@
     cfg: Config,
     server: BackendServer,
     slots: Mutex<Slots>,
-    lease: Mutex<Lease>,
     links: Mutex<HashMap<SocketAddr, Link>>,
     /// Wakes the listing loop when work begins after a quiet time.
     work: Notify,
@@ -140,7 +123,6 @@
 pub fn spawn(cfg: Config, server: BackendServer) -> Agent {
     let inner = Arc::new(Inner {
         slots: Mutex::new(Slots::open(cfg.bounds)),
-        lease: Mutex::new(Lease::open(cfg.bounds)),
         cfg,
         server,
         links: Mutex::default(),
@@ -159,8 +141,6 @@
         let before = lock(&self.inner.slots).instance();
         lock(&self.inner.slots).announced(now, backend);
         if lock(&self.inner.slots).instance() != before {
-            // What is known of the clock and the lease is of the life before.
-            *lock(&self.inner.lease) = Lease::open(self.inner.cfg.bounds);
             let inner = self.inner.clone();
             tokio::spawn(async move { list_once(&inner, time::Duration::ZERO).await });
         }
@@ -246,26 +226,14 @@
             inner.clean.store(true, Ordering::Relaxed);
         }
         renew_if_late(&inner, now);
-        let over = lock(&inner.lease).lapsed(now);
-        let silent = lock(&inner.lease).silent(now, bounds.lease.mul_f64(UNREACHED));
-        {
-            let mut slots = lock(&inner.slots);
-            if silent {
-                slots.reach(now, false);
-            }
-            if over && slots.is_working() {
-                slots.lost(now, "the lease ran out");
-            }
-            slots.tick(now);
-        }
+        lock(&inner.slots).tick(now);
         flush(&inner);
         tell_news(&inner);
     }
 }
 
 fn renew_if_late(inner: &Arc<Inner>, now: time::Duration) {
-    let working = lock(&inner.slots).is_working();
-    if working && lock(&inner.lease).overdue(now, inner.cfg.bounds.lease.mul_f64(RENEW_AGAIN)) {
+    if lock(&inner.slots).renewal_overdue(now) {
         let inner = inner.clone();
         tokio::spawn(async move {
             let _ = list_once(&inner, time::Duration::ZERO).await;
@@ -290,7 +258,7 @@
     let sent = clock::since_boot();
     let instance = lock(&inner.slots).instance();
     let clean = inner.clean.load(Ordering::Relaxed);
-    let until = clean.then(|| lock(&inner.lease).renew(sent)).flatten();
+    let until = clean.then(|| lock(&inner.slots).renew(sent)).flatten();
     let call = (inner.server.list)(instance.clone(), until, wait);
     let answer = timeout(wait + LISTING_SLACK, call).await;
     let now = clock::since_boot();
@@ -303,20 +271,15 @@
     let listed = match answer {
         Ok(Ok(listed)) => listed,
         Ok(Err(NoListing::AnotherLife)) => {
-            lock(&inner.slots).lost(now, "the backend server has another life");
+            lock(&inner.slots).another_life(now);
             return false;
         }
         Ok(Err(NoListing::Silent)) | Err(_) => return false,
     };
-    lock(&inner.lease).heard(sent, now, listed.clock_ms);
-    {
-        let mut slots = lock(&inner.slots);
-        slots.reach(now, true);
-        if listed.listing.running.is_empty() {
-            inner.clean.store(true, Ordering::Relaxed);
-        }
-        slots.listed(now, sent, listed.listing);
+    if listed.running.is_empty() {
+        inner.clean.store(true, Ordering::Relaxed);
     }
+    lock(&inner.slots).listed(now, sent, listed);
     flush(inner);
     tell_news(inner);
     true
@@ -328,8 +291,8 @@
     for order in orders {
         let inner = inner.clone();
         match order {
-            Order::Start(run, input) => {
-                tokio::spawn(start(inner, run, input));
+            Order::Start(run, input, until) => {
+                tokio::spawn(start(inner, run, input, until));
             }
             Order::Stop(run) => {
                 tokio::spawn(stop(inner, run));
@@ -338,14 +301,9 @@
     }
 }
 
-async fn start(inner: Arc<Inner>, run: Run, input: CompactString) {
+async fn start(inner: Arc<Inner>, run: Run, input: CompactString, until: u64) {
     let instance = lock(&inner.slots).instance();
-    let until = lock(&inner.lease).renew(clock::since_boot());
-    let answer = match until {
-        Some(until) => (inner.server.start)(instance, run.clone(), input, until).await,
-        // Without a lease nothing was sent.
-        None => StartAnswer::Refused,
-    };
+    let answer = (inner.server.start)(instance, run.clone(), input, until).await;
     lock(&inner.slots).answered(clock::since_boot(), &run, answer);
     inner.work.notify_one();
     flush(&inner);
--- a/src/decide/besteffort/slots.rs
+++ b/src/decide/besteffort/slots.rs
@@ -10,7 +10,7 @@
 
 use compact_str::CompactString;
 
-use crate::decide::besteffort::lease::Bounds;
+use crate::decide::besteffort::lease::{Bounds, Lease};
 use crate::decide::besteffort::message::{
     Backend, Ended, EntryName, FromAgent, Hello, How, Progress, Room, Run, Start,
 };
@@ -24,14 +24,21 @@
 /// How long a stop may go unanswered before it is sent again.
 const STOP_AGAIN: time::Duration = time::Duration::from_millis(150);
 
+/// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
+/// listing that should have brought it is late.
+const RENEW_AGAIN: f64 = 0.4;
+
+/// Part of the lease for which the backend server may be silent before nothing new is sent to it.
+const UNREACHED: f64 = 0.7;
+
 /// How long an entry that is gone is remembered.
 const FORGET_ENTRY: time::Duration = time::Duration::from_secs(10);
 
 /// What the agent asks of its backend server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Order {
-    /// Begin a run.
-    Start(Run, CompactString),
+    /// Begin a run, under a lease that ends then on the backend server's clock.
+    Start(Run, CompactString, u64),
     /// End a run, or make sure that it never begins.
     Stop(Run),
 }
@@ -52,6 +59,8 @@
 /// What a backend server says that it has.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
+    /// Its clock, in milliseconds.
+    pub clock_ms: u64,
     /// Runs at work, with hundredths done.
     pub running: Vec<(Run, u8)>,
     /// Ends that were not acknowledged before.
@@ -108,6 +117,7 @@
 #[derive(Debug)]
 pub struct Slots {
     bounds: Bounds,
+    lease: Lease,
     backend: Backend,
     past: HashSet<CompactString>,
     held: BTreeMap<Run, Held>,
@@ -115,6 +125,8 @@
     used: Room,
     entries: BTreeMap<EntryName, Entry>,
     orders: Vec<Order>,
+    /// When runs that nobody here asked for were told to stop.
+    alien_stops: BTreeMap<Run, time::Duration>,
     stopping: bool,
     /// Whether the backend server was heard lately.
     reached: bool,
@@ -129,6 +141,7 @@
     pub fn open(bounds: Bounds) -> Slots {
         Slots {
             bounds,
+            lease: Lease::open(bounds),
             backend: Backend::default(),
             past: HashSet::new(),
             held: BTreeMap::new(),
@@ -136,6 +149,7 @@
             used: Room::default(),
             entries: BTreeMap::new(),
             orders: Vec::new(),
+            alien_stops: BTreeMap::new(),
             stopping: false,
             reached: false,
         }
@@ -154,7 +168,9 @@
             log::info!(instance = backend.instance.as_str(), before = self.backend.instance.as_str(),
                 held = self.held.len(); "backend server has a new life");
             self.lost(now, "another life of the backend server");
-            self.reached = true;
+            // What is known of the clock and the lease is of the life before.
+            self.lease = Lease::open(self.bounds);
+            self.reached = false;
         }
         if backend.takes_work != self.backend.takes_work {
             log::info!(instance = backend.instance.as_str(), takes_work = backend.takes_work;
@@ -174,7 +190,7 @@
     }
 
     /// Everything that was with the backend server has ended: its lease ran out or it is another.
-    pub fn lost(&mut self, now: time::Duration, why: &str) {
+    fn lost(&mut self, now: time::Duration, why: &str) {
         let gone = self.held.iter().filter(|(_, h)| h.state != State::Waiting);
         let gone: Vec<Run> = gone.map(|(run, _)| run.clone()).collect();
         if !gone.is_empty() {
@@ -185,8 +201,21 @@
         }
     }
 
+    /// The end of the lease to ask for with a listing, on the backend server's clock.
+    pub fn renew(&mut self, now: time::Duration) -> Option<u64> {
+        self.lease.renew(now)
+    }
+
+    /// Whether a renewal is overdue while something runs, so that one more is worth a call.
+    pub fn renewal_overdue(&self, now: time::Duration) -> bool {
+        self.is_working()
+            && self
+                .lease
+                .overdue(now, self.bounds.lease.mul_f64(RENEW_AGAIN))
+    }
+
     /// Takes in whether the backend server answers; nothing is started while it doesn't.
-    pub fn reach(&mut self, now: time::Duration, reached: bool) {
+    fn reach(&mut self, now: time::Duration, reached: bool) {
         if self.reached == reached {
             return;
         }
@@ -341,8 +370,15 @@
         }
     }
 
-    /// Takes in a listing that was asked for at `sent`.
+    /// Another life of the backend server has answered; nothing of the one that is known runs.
+    pub fn another_life(&mut self, now: time::Duration) {
+        self.lost(now, "another life has answered");
+    }
+
+    /// Takes in a listing that was asked for at `sent`, of the life that is known.
     pub fn listed(&mut self, now: time::Duration, sent: time::Duration, listing: Listing) {
+        self.lease.heard(sent, now, listing.clock_ms);
+        self.reach(now, true);
         for (run, how) in &listing.ended {
             self.end(now, run, *how);
         }
@@ -357,6 +393,15 @@
             }
         }
         for run in alien {
+            let again = self
+                .alien_stops
+                .get(&run)
+                .is_some_and(|at| now < *at + STOP_AGAIN);
+            if again {
+                continue;
+            }
+            self.alien_stops.retain(|_, at| now < *at + STOP_AGAIN);
+            self.alien_stops.insert(run.clone(), now);
             log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
                 "stopping a run that nobody here asked for");
             self.orders.push(Order::Stop(run));
@@ -378,6 +423,12 @@
 
     /// Looks at every time bound. To be called more often than any of them matters.
     pub fn tick(&mut self, now: time::Duration) {
+        if self.lease.silent(now, self.bounds.lease.mul_f64(UNREACHED)) {
+            self.reach(now, false);
+        }
+        if self.is_working() && self.lease.lapsed(now) {
+            self.lost(now, "the lease ran out");
+        }
         let mut unwanted = Vec::new();
         let mut bounced = Vec::new();
         for (run, held) in &self.held {
@@ -536,11 +587,17 @@
         if !free.fits(&held.start.need) {
             return;
         }
+        // The lease covers the run from the order on. Were it renewed only as the order leaves, the
+        // next look at the time bounds could find the run without one and give it up, while the
+        // order is on its way: its task would run here and elsewhere.
+        let Some(until) = self.lease.renew(now) else {
+            return;
+        };
         held.state = State::Starting;
         held.since = now;
         self.used = self.used.plus(&held.start.need);
         self.waiting.remove(&held.rank());
         let input = held.start.input.clone();
-        self.orders.push(Order::Start(run.clone(), input));
+        self.orders.push(Order::Start(run.clone(), input, until));
     }
 }
--- a/tests/support/besteffort.rs
+++ b/tests/support/besteffort.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use compact_str::CompactString;
-use lovagemill::besteffort::agent::{Answer, BackendServer, Listed, NoListing};
+use lovagemill::besteffort::agent::{Answer, BackendServer, NoListing};
 use lovagemill::besteffort::line;
 use lovagemill::clock;
 use lovagemill::decide::besteffort::message::{
@@ -31,7 +31,7 @@
     List(
         CompactString,
         bool,
-        oneshot::Sender<Result<Listed, NoListing>>,
+        oneshot::Sender<Result<Listing, NoListing>>,
     ),
     /// A start in a life.
     Start(CompactString, Run, oneshot::Sender<StartAnswer>),
@@ -71,7 +71,7 @@
     }
 
     /// Waits for a listing of a life and returns the way to answer it.
-    pub async fn list(&self, life: &str) -> oneshot::Sender<Result<Listed, NoListing>> {
+    pub async fn list(&self, life: &str) -> oneshot::Sender<Result<Listing, NoListing>> {
         self.next("a listing", |call| match call {
             Call::List(of, _, tx) if of == life => Ok(tx),
             other => Err(other),
@@ -126,11 +126,13 @@
                 stop.push(Call::Stop(life, run, tx));
                 Box::pin(async move { rx.await.unwrap_or(false) })
             }),
-            list: Box::new(move |life, until, _| -> Answer<Result<Listed, NoListing>> {
-                let (tx, rx) = oneshot::channel();
-                list.push(Call::List(life, until.is_some(), tx));
-                Box::pin(async move { rx.await.unwrap_or(Err(NoListing::Silent)) })
-            }),
+            list: Box::new(
+                move |life, until, _| -> Answer<Result<Listing, NoListing>> {
+                    let (tx, rx) = oneshot::channel();
+                    list.push(Call::List(life, until.is_some(), tx));
+                    Box::pin(async move { rx.await.unwrap_or(Err(NoListing::Silent)) })
+                },
+            ),
         }
     }
 }
@@ -139,10 +141,11 @@
 pub fn listed(
     running: Vec<(Run, u8)>,
     ended: Vec<(Run, lovagemill::decide::besteffort::message::How)>,
-) -> Listed {
-    Listed {
+) -> Listing {
+    Listing {
         clock_ms: clock::since_boot().as_millis() as u64,
-        listing: Listing { running, ended },
+        running,
+        ended,
     }
 }
 
