Run the lease out under a run that has to end and isn't known to have ended

An agent renewed it for other runs, or as it woke, while the stop of a run whose entry had fallen silent had no answer. The run outlived the bound after which the entry starts its task elsewhere.

--- a/src/decide/besteffort/slots.rs
+++ b/src/decide/besteffort/slots.rs
@@ -10,7 +10,7 @@
 
 use compact_str::CompactString;
 
-use crate::decide::besteffort::lease::{Bounds, Lease};
+use crate::decide::besteffort::lease::{self, Bounds, Lease};
 use crate::decide::besteffort::message::{
     Backend, Ended, EntryName, FromAgent, Hello, How, Progress, Room, Run, Start,
 };
@@ -22,7 +22,7 @@
 const LOOK_AHEAD: usize = 8;
 
 /// How long a stop may go unanswered before it is sent again.
-const STOP_AGAIN: time::Duration = time::Duration::from_millis(150);
+const STOP_AGAIN: time::Duration = time::Duration::from_millis(50);
 
 /// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
 /// listing that should have brought it is late.
@@ -88,8 +88,8 @@
     state: State,
     /// Since when it waits or runs.
     since: time::Duration,
-    /// When it must no longer be wanted: withdrawn, past its deadline, its entry silent.
-    unwanted: bool,
+    /// Since when it has to end: withdrawn, past its deadline, or its entry silent.
+    unwanted: Option<time::Duration>,
     /// When the last stop was sent, or answered while closing.
     stop_at: time::Duration,
     percent: u8,
@@ -202,10 +202,26 @@
     }
 
     /// The end of the lease to ask for with a listing, on the backend server's clock.
+    /// None while a run that has to end goes on, because its stop isn't answered or nobody was awake
+    /// to send one: the lease is one for all, and running it out is the one way left to end that run
+    /// before its task may start elsewhere.
     pub fn renew(&mut self, now: time::Duration) -> Option<u64> {
+        let open = |held: &Held| !matches!(held.state, State::Waiting | State::Closing);
+        let overdue = |held: &Held| now > self.must_end(held) + lease::SLACK;
+        if self.held.values().any(|held| open(held) && overdue(held)) {
+            return None;
+        }
         self.lease.renew(now)
     }
 
+    /// When a run has to end: withdrawn, past its deadline, or its entry not heard.
+    fn must_end(&self, held: &Held) -> time::Duration {
+        let entry = self.entries.get(&held.entry);
+        let heard = entry.map_or(time::Duration::ZERO, |entry| entry.alive_until);
+        let deadline = millis(held.start.deadline_ms);
+        held.unwanted.unwrap_or(deadline).min(deadline).min(heard)
+    }
+
     /// Whether a renewal is overdue while something runs, so that one more is worth a call.
     pub fn renewal_overdue(&self, now: time::Duration) -> bool {
         self.is_working()
@@ -309,7 +325,7 @@
             entry: name.clone(),
             state: State::Waiting,
             since: now,
-            unwanted: false,
+            unwanted: None,
             stop_at: time::Duration::ZERO,
             percent: 0,
             percent_at: now,
@@ -345,7 +361,7 @@
             StartAnswer::Accepted => {
                 held.state = State::Running;
                 held.since = now;
-                if held.unwanted {
+                if held.unwanted.is_some() {
                     self.send_stop(now, run);
                 }
             }
@@ -353,7 +369,7 @@
             StartAnswer::Unwell => self.end(now, run, How::Rejected),
             StartAnswer::Unknown => {
                 held.state = State::Unsure;
-                held.unwanted = true;
+                held.unwanted.get_or_insert(now);
                 log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
                     "start had no answer");
                 self.send_stop(now, run);
@@ -440,7 +456,7 @@
             let waited = now.saturating_sub(held.since) >= millis(held.start.patience_ms);
             if held.state == State::Waiting && waited {
                 bounced.push(run.clone());
-            } else if (silent || past) && !held.unwanted {
+            } else if (silent || past) && held.unwanted.is_none() {
                 log::info!(job = run.job.as_str(), task = run.task, run = run.number,
                     entry = held.entry.entry.as_str(), silent = silent, past_deadline = past;
                     "ending a run that nobody waits for");
@@ -501,7 +517,7 @@
     fn stop_again(&mut self, now: time::Duration) {
         let due = self.held.iter().filter(|(_, held)| {
             let waits = matches!(held.state, State::Running | State::Unsure);
-            held.unwanted && waits && now.saturating_sub(held.stop_at) >= STOP_AGAIN
+            held.unwanted.is_some() && waits && now.saturating_sub(held.stop_at) >= STOP_AGAIN
         });
         let due: Vec<Run> = due.map(|(run, _)| run.clone()).collect();
         for run in due {
@@ -517,7 +533,7 @@
             self.end(now, run, How::NotRun);
             return;
         }
-        held.unwanted = true;
+        held.unwanted.get_or_insert(now);
         // A start on its way is stopped once it is answered: a stop that overtook it would be
         // answered before the run is there.
         if held.state != State::Starting {
@@ -581,7 +597,7 @@
         if earlier.any(|(_, held)| held.state != State::Waiting) {
             return;
         }
-        let Some(held) = self.held.get_mut(run) else {
+        let Some(held) = self.held.get(run) else {
             return;
         };
         if !free.fits(&held.start.need) {
@@ -590,7 +606,10 @@
         // The lease covers the run from the order on. Were it renewed only as the order leaves, the
         // next look at the time bounds could find the run without one and give it up, while the
         // order is on its way: its task would run here and elsewhere.
-        let Some(until) = self.lease.renew(now) else {
+        let Some(until) = self.renew(now) else {
+            return;
+        };
+        let Some(held) = self.held.get_mut(run) else {
             return;
         };
         held.state = State::Starting;
--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -14,12 +14,17 @@
 /// Seeds that every run plays; each missing guard is found by several of them.
 const SEEDS: u64 = 120;
 
+/// Seeds that once found a double run; played with the others for good. In 1001 both stops of a run
+/// whose entry had fallen silent went unanswered, while the lease was renewed for other runs.
+const KEPT: [u64; 2] = [1001, 2715];
+
 /// Sets another number of seeds, to search longer by hand.
 const MORE: &str = "LOVAGEMILL_SIM_SEEDS";
 
 fn doubles(guards: Guards, faults: Faults) -> Vec<(u64, String)> {
     let more = std::env::var(MORE).ok().and_then(|text| text.parse().ok());
-    let found = (0..more.unwrap_or(SEEDS)).filter_map(|seed| {
+    let seeds = (0..more.unwrap_or(SEEDS)).chain(KEPT);
+    let found = seeds.filter_map(|seed| {
         let double = World::open(seed, guards, faults).play()?;
         Some((seed, double))
     });
@@ -33,6 +38,8 @@
 fn no_task_runs_twice_at_a_time() {
     let found = doubles(Guards::default(), Faults::default());
     assert!(found.is_empty(), "{found:?}");
+    let found = doubles(Guards::default(), Faults::naps());
+    assert!(found.is_empty(), "with naps: {found:?}");
 }
 
 /// The calm run must do work, or the search would find nothing in an empty world.
@@ -70,7 +77,7 @@
         counts_suspension: false,
         ..Guards::default()
     };
-    assert!(!doubles(guards, Faults::default()).is_empty());
+    assert!(!doubles(guards, Faults::naps()).is_empty());
 }
 
 /// A start that is carried out seconds late, under no deadline and without a stop that closes it,
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -65,6 +65,10 @@
     every: Ms,
     /// Orders without an answer, in a hundred.
     unanswered: u32,
+    /// Longest that a fault lasts.
+    longest: Ms,
+    /// Which faults come, by the numbers in [`World::fault`].
+    kinds: &'static [u32],
 }
 
 impl Default for Faults {
@@ -72,6 +76,8 @@
         Faults {
             every: 350,
             unanswered: 6,
+            longest: 4_000,
+            kinds: &[0, 1, 2, 3, 4, 5, 6, 7],
         }
     }
 }
@@ -81,6 +87,17 @@
         Faults {
             every: 0,
             unanswered: 0,
+            ..Faults::default()
+        }
+    }
+
+    /// Agents that are suspended again and again for less than a lease, and entries that die.
+    pub fn naps() -> Faults {
+        Faults {
+            every: 120,
+            longest: 620,
+            kinds: &[1, 1, 1, 2],
+            ..Faults::default()
         }
     }
 }
@@ -716,8 +733,9 @@
             self.rng.random_range(0..ENTRIES),
             self.rng.random_range(0..AGENTS),
         );
-        let long = self.rng.random_range(20..4_000);
-        match self.rng.random_range(0..8) {
+        let long = self.rng.random_range(20..self.faults.longest);
+        let kind = self.rng.random_range(0..self.faults.kinds.len());
+        match self.faults.kinds[kind] {
             0 => self.freeze_entry(e, long),
             1 => self.freeze_agent(a, long),
             2 => self.kill_entry(e, long),
--- /dev/null
+++ b/tests/besteffort_slots.rs
@@ -0,0 +1,249 @@
+//! What an agent holds: starts, stops and ends under loss, and the lease that covers them.
+
+use std::time::Duration;
+
+use lovagemill::decide::besteffort::lease::{self, Bounds};
+use lovagemill::decide::besteffort::message::{Backend, EntryName, How, Room, Run, Start};
+use lovagemill::decide::besteffort::slots::{Listing, Order, Slots, StartAnswer};
+
+const START: u64 = 10_000;
+
+fn ms(at: u64) -> Duration {
+    Duration::from_millis(at)
+}
+
+fn entry(life: u64) -> EntryName {
+    EntryName {
+        entry: "entry".into(),
+        life,
+    }
+}
+
+fn room(cpu: i64) -> Room {
+    Room {
+        cpu,
+        memory_mb: 1_000,
+        accelerators: 0,
+    }
+}
+
+fn backend(life: &str) -> Backend {
+    Backend {
+        instance: life.into(),
+        service: "svc".into(),
+        labels: Vec::new(),
+        size: room(4_000),
+        takes_work: true,
+    }
+}
+
+fn run(task: u32, number: u64) -> Run {
+    Run {
+        job: "job".into(),
+        task,
+        number,
+    }
+}
+
+fn start(run: Run, at: u64) -> Start {
+    Start {
+        run,
+        input: "input".into(),
+        need: Room {
+            cpu: 2_000,
+            memory_mb: 10,
+            accelerators: 0,
+        },
+        priority: 0,
+        urgency_ms: at,
+        deadline_ms: at + 5_000,
+        patience_ms: 40,
+    }
+}
+
+fn listing(at: u64, running: &[Run]) -> Listing {
+    Listing {
+        clock_ms: at,
+        running: running.iter().map(|run| (run.clone(), 10)).collect(),
+        ended: Vec::new(),
+    }
+}
+
+/// An agent with a backend server that was heard, and an entry that has connected.
+fn open() -> Slots {
+    let mut slots = Slots::open(Bounds::default());
+    slots.announced(ms(START), backend("life"));
+    slots.listed(ms(START), ms(START), listing(START, &[]));
+    slots.entry_up(ms(START), &entry(1));
+    slots
+}
+
+/// Starts a run that the backend server accepts at once.
+fn begin(slots: &mut Slots, at: u64, run: Run) {
+    slots.heard(ms(at), &entry(1), at);
+    slots.start(ms(at), &entry(1), true, start(run.clone(), at));
+    assert!(matches!(&slots.orders()[..], [Order::Start(begun, ..)] if *begun == run));
+    slots.answered(ms(at), &run, StartAnswer::Accepted);
+}
+
+fn ends(slots: &mut Slots, at: u64) -> Vec<(Run, How)> {
+    let line = slots.line(&entry(1), ms(at));
+    line.ended
+        .into_iter()
+        .map(|end| (end.run, end.how))
+        .collect()
+}
+
+/// Two runs of one task. A backend server has just started anew, so that no lease was granted yet.
+/// A start is ordered, and the time bounds are looked at before the order has left: the run was
+/// given up for want of a lease, and its task started elsewhere while the order was carried out.
+#[test]
+fn a_start_on_its_way_has_a_lease() {
+    let mut slots = open();
+    slots.heard(ms(START), &entry(1), START);
+    slots.start(ms(START), &entry(1), true, start(run(0, 1), START));
+    slots.tick(ms(START + 1));
+    assert_eq!(ends(&mut slots, START + 1), []);
+    assert!(slots.is_working());
+}
+
+/// Two runs of one task. The entry has fallen silent, and the stops of its run go unanswered one
+/// after the other; the agent kept renewing the lease for other runs, and with it that of the run
+/// that the entry counts as ended by now.
+#[test]
+fn the_lease_runs_out_under_a_run_that_no_stop_ends() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    let silent = START + Bounds::default().silence.as_millis() as u64;
+    slots.tick(ms(silent));
+    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    slots.listed(ms(silent), ms(silent), listing(silent, &[run(0, 1)]));
+    assert!(slots.renew(ms(silent)).is_some(), "the stop may still work");
+    let overdue = silent + lease::SLACK.as_millis() as u64 + 1;
+    slots.listed(ms(overdue), ms(overdue), listing(overdue, &[run(0, 1)]));
+    assert_eq!(slots.renew(ms(overdue)), None);
+    slots.stop_answered(ms(overdue), &run(0, 1));
+    assert!(slots.renew(ms(overdue)).is_some(), "stopped after all");
+}
+
+/// Two runs of one task. An agent is frozen while its entry gives it up, wakes before the lease has
+/// run out, renews it at once, and dies as its stop is on the way: the run went on for another whole
+/// lease, past the time at which the entry starts its task elsewhere.
+#[test]
+fn an_agent_that_wakes_late_doesn_t_renew_what_must_end() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    slots.listed(
+        ms(START + 100),
+        ms(START + 100),
+        listing(START + 100, &[run(0, 1)]),
+    );
+    let silence = Bounds::default().silence.as_millis() as u64;
+    let woken = START + silence + lease::SLACK.as_millis() as u64 + 1;
+    assert_eq!(slots.renew(ms(woken)), None);
+}
+
+/// A stop that nobody answers is sent again, and soon: an order may be carried out seconds late.
+#[test]
+fn a_stop_without_an_answer_is_sent_again() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    slots.withdraw(ms(START + 10), &entry(1), &run(0, 1));
+    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    slots.tick(ms(START + 20));
+    assert_eq!(slots.orders(), []);
+    slots.heard(ms(START + 70), &entry(1), START + 70);
+    slots.tick(ms(START + 70));
+    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+}
+
+/// A task is said not to run, and runs: its start had no answer and is carried out seconds later.
+/// Such a run counts as there until a stop is answered and a later listing doesn't name it.
+#[test]
+fn a_start_without_an_answer_is_closed_before_it_is_given_up() {
+    let mut slots = open();
+    slots.heard(ms(START), &entry(1), START);
+    slots.start(ms(START), &entry(1), true, start(run(0, 1), START));
+    slots.orders();
+    slots.answered(ms(START + 150), &run(0, 1), StartAnswer::Unknown);
+    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    slots.listed(ms(START + 160), ms(START + 155), listing(START + 160, &[]));
+    assert_eq!(ends(&mut slots, START + 160), [], "not closed yet");
+    slots.stop_answered(ms(START + 170), &run(0, 1));
+    slots.listed(ms(START + 175), ms(START + 165), listing(START + 175, &[]));
+    assert_eq!(
+        ends(&mut slots, START + 175),
+        [],
+        "the listing is older than the stop"
+    );
+    slots.listed(ms(START + 190), ms(START + 180), listing(START + 190, &[]));
+    assert_eq!(ends(&mut slots, START + 190), [(run(0, 1), How::Gone)]);
+}
+
+/// A backend server that guards its room refuses what doesn't fit, and one that doesn't is
+/// overloaded: room comes free only when an end was listed, also for runs that were stopped.
+#[test]
+fn room_comes_free_with_the_listed_end() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    begin(&mut slots, START, run(1, 2));
+    slots.start(ms(START), &entry(1), true, start(run(2, 3), START));
+    assert_eq!(slots.orders(), [], "no room");
+    slots.withdraw(ms(START + 5), &entry(1), &run(0, 1));
+    slots.orders();
+    slots.stop_answered(ms(START + 6), &run(0, 1));
+    assert_eq!(slots.orders(), [], "stopped isn't ended");
+    let mut ended = listing(START + 8, &[run(1, 2)]);
+    ended.ended.push((run(0, 1), How::Gone));
+    slots.listed(ms(START + 8), ms(START + 7), ended);
+    assert!(matches!(&slots.orders()[..], [Order::Start(begun, ..)] if *begun == run(2, 3)));
+}
+
+/// New work reaches a backend server after it said that it leaves: nothing is started from that
+/// moment on, and what waited here goes back to its entry at once.
+#[test]
+fn nothing_starts_on_a_backend_server_that_leaves() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    begin(&mut slots, START, run(1, 2));
+    slots.start(ms(START), &entry(1), true, start(run(2, 3), START));
+    let leaving = Backend {
+        takes_work: false,
+        ..backend("life")
+    };
+    slots.announced(ms(START + 5), leaving);
+    slots.start(ms(START + 6), &entry(1), true, start(run(3, 4), START));
+    assert_eq!(slots.orders(), []);
+    let bounced = [(run(2, 3), How::NotRun), (run(3, 4), How::NotRun)];
+    assert_eq!(ends(&mut slots, START + 6), bounced);
+    assert!(slots.is_working(), "what runs goes on");
+}
+
+/// A word of a backend server's earlier life that arrives late brings the dead one back.
+#[test]
+fn an_earlier_life_doesn_t_come_back() {
+    let mut slots = open();
+    slots.announced(ms(START + 1), backend("next"));
+    slots.announced(ms(START + 2), backend("life"));
+    assert_eq!(slots.instance(), "next");
+}
+
+/// Nothing runs past its caller's patience: the deadline is kept here, on the agent's clock, also
+/// where the entry lives on.
+#[test]
+fn a_run_is_stopped_at_its_deadline() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    let deadline = START + 5_000;
+    slots.heard(ms(deadline), &entry(1), deadline);
+    slots.listed(ms(deadline), ms(deadline), listing(deadline, &[run(0, 1)]));
+    slots.tick(ms(deadline));
+    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+}
+
+/// The bounds must leave a resubmission nothing to meet: silence, then the lease of an agent that
+/// died in the meantime, on a slow clock, with the stop's grace.
+#[test]
+fn all_bounds_together_are_shorter_than_a_resubmission() {
+    assert!(Bounds::default().abandoned() < lease::RESUBMIT_AFTER);
+}
