--- a/src/besteffort/agent.rs
+++ b/src/besteffort/agent.rs
@@ -66,14 +66,21 @@
         Box<dyn Fn(CompactString, Run, CompactString, u64) -> Answer<StartAnswer> + Send + Sync>,
     /// Stops a run, or makes sure that it never begins; true once that is certain.
     pub stop: Box<dyn Fn(CompactString, Run) -> Answer<bool> + Send + Sync>,
-    /// Lists what it has, renewing the lease where a time is given; waits for an end at most so
-    /// long. The first argument is the life that is meant, empty for any.
-    #[allow(clippy::type_complexity)]
-    pub list: Box<
-        dyn Fn(CompactString, Option<u64>, time::Duration) -> Answer<Result<Listing, NoListing>>
-            + Send
-            + Sync,
-    >,
+    /// Lists what it has.
+    pub list: Box<dyn Fn(ListCall) -> Answer<Result<Listing, NoListing>> + Send + Sync>,
+}
+
+/// What is asked with a listing.
+#[derive(Clone, Debug)]
+pub struct ListCall {
+    /// The life of the backend server that is meant; empty for any.
+    pub life: CompactString,
+    /// The end of the lease to renew, on the backend server's clock.
+    pub until: Option<u64>,
+    /// The last end that needn't be listed any more.
+    pub acknowledged: u64,
+    /// How long to wait for an end.
+    pub wait: time::Duration,
 }
 
 /// Who an agent is.
@@ -259,7 +266,12 @@
     let instance = lock(&inner.slots).instance();
     let clean = inner.clean.load(Ordering::Relaxed);
     let until = clean.then(|| lock(&inner.slots).renew(sent)).flatten();
-    let call = (inner.server.list)(instance.clone(), until, wait);
+    let call = (inner.server.list)(ListCall {
+        life: instance.clone(),
+        until,
+        acknowledged: lock(&inner.slots).acknowledged(),
+        wait,
+    });
     let answer = timeout(wait + LISTING_SLACK, call).await;
     let now = clock::since_boot();
     // Word from or about an earlier life, which was under way when the next one announced itself,
--- a/src/decide/besteffort/slots.rs
+++ b/src/decide/besteffort/slots.rs
@@ -65,6 +65,8 @@
     pub running: Vec<(Run, u8)>,
     /// Ends that were not acknowledged before.
     pub ended: Vec<(Run, How)>,
+    /// The number of the last of them; 0 where there is none.
+    pub last_end: u64,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -118,6 +120,9 @@
 pub struct Slots {
     bounds: Bounds,
     lease: Lease,
+    /// The last end that was taken in from this life of the backend server. It is acknowledged only
+    /// then: an end that is acknowledged isn't listed again.
+    acknowledged: u64,
     backend: Backend,
     past: HashSet<CompactString>,
     held: BTreeMap<Run, Held>,
@@ -142,6 +147,7 @@
         Slots {
             bounds,
             lease: Lease::open(bounds),
+            acknowledged: 0,
             backend: Backend::default(),
             past: HashSet::new(),
             held: BTreeMap::new(),
@@ -170,6 +176,7 @@
             self.lost(now, "another life of the backend server");
             // What is known of the clock and the lease is of the life before.
             self.lease = Lease::open(self.bounds);
+            self.acknowledged = 0;
             self.reached = false;
         }
         if backend.takes_work != self.backend.takes_work {
@@ -222,6 +229,11 @@
         held.unwanted.unwrap_or(deadline).min(deadline).min(heard)
     }
 
+    /// The last end that needn't be listed any more.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
     /// Whether a renewal is overdue while something runs, so that one more is worth a call.
     pub fn renewal_overdue(&self, now: time::Duration) -> bool {
         self.is_working()
@@ -395,6 +407,7 @@
     pub fn listed(&mut self, now: time::Duration, sent: time::Duration, listing: Listing) {
         self.lease.heard(sent, now, listing.clock_ms);
         self.reach(now, true);
+        self.acknowledged = self.acknowledged.max(listing.last_end);
         for (run, how) in &listing.ended {
             self.end(now, run, *how);
         }
--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -100,7 +100,7 @@
         answer.send(true).expect("the agent waits");
         let (renews, next) = calls
             .next("a listing", |call| match call {
-                support::besteffort::Call::List(_, renews, tx) => Ok((renews, tx)),
+                support::besteffort::Call::List(call, tx) => Ok((call.until.is_some(), tx)),
                 other => Err(other),
             })
             .await;
@@ -224,3 +224,29 @@
         assert_eq!(ended, [(&run("job", 0, 1), How::Done)]);
     });
 }
+
+/// A task that was done runs once more. Its end came with a listing that was asked for before the
+/// backend server had announced itself; the agent passed that over, but acknowledged the end, so that
+/// it was never listed again.
+#[test]
+fn an_end_that_wasn_t_taken_in_isn_t_acknowledged() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let agent = open(&calls);
+        let early = calls.list("").await;
+        agent.announced(backend("life"));
+        let _ = early.send(Ok(listed(Vec::new(), vec![(run("job", 0, 1), How::Done)])));
+        for _ in 0..3 {
+            let (acknowledged, tx) = calls
+                .next("a listing", |call| match call {
+                    support::besteffort::Call::List(call, tx) if call.life == "life" => {
+                        Ok((call.acknowledged, tx))
+                    }
+                    other => Err(other),
+                })
+                .await;
+            assert_eq!(acknowledged, 0);
+            let _ = tx.send(Ok(listed(Vec::new(), Vec::new())));
+        }
+    });
+}
--- a/tests/besteffort_sim/net.rs
+++ b/tests/besteffort_sim/net.rs
@@ -7,8 +7,8 @@
 /// Which end a line goes to.
 #[derive(Clone, Debug)]
 pub enum Line {
-    ToAgent(FromEntry),
-    ToEntry(FromAgent),
+    ToAgent(Box<FromEntry>),
+    ToEntry(Box<FromAgent>),
 }
 
 /// One connection; a new one has a larger number.
--- a/tests/besteffort_sim/server.rs
+++ b/tests/besteffort_sim/server.rs
@@ -120,6 +120,7 @@
             clock_ms: now,
             running: self.running.keys().map(|run| (run.clone(), 10)).collect(),
             ended: std::mem::take(&mut self.ended),
+            last_end: 0,
         })
     }
 
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -533,7 +533,7 @@
         let at = (self.now + delay).max(link.last.1).max(link.held.1);
         link.last.1 = at;
         let number = link.number;
-        self.at(at, Event::Line(e, a, number, Line::ToEntry(line)));
+        self.at(at, Event::Line(e, a, number, Line::ToEntry(Box::new(line))));
     }
 
     fn entry_says(&mut self, e: usize, a: usize, mut line: FromEntry) {
@@ -553,7 +553,7 @@
         let at = (self.now + delay).max(link.last.0).max(link.held.0);
         link.last.0 = at;
         let number = link.number;
-        self.at(at, Event::Line(e, a, number, Line::ToAgent(line)));
+        self.at(at, Event::Line(e, a, number, Line::ToAgent(Box::new(line))));
     }
 
     fn line(&mut self, e: usize, a: usize, number: u64, line: Line) {
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -66,6 +66,7 @@
         clock_ms: at,
         running: running.iter().map(|run| (run.clone(), 10)).collect(),
         ended: Vec::new(),
+        last_end: 0,
     }
 }
 
@@ -233,10 +234,16 @@
 #[test]
 fn a_run_is_stopped_at_its_deadline() {
     let mut slots = open();
-    begin(&mut slots, START, run(0, 1));
-    let deadline = START + 5_000;
-    slots.heard(ms(deadline), &entry(1), deadline);
-    slots.listed(ms(deadline), ms(deadline), listing(deadline, &[run(0, 1)]));
+    let deadline = START + 300;
+    let start = Start {
+        deadline_ms: deadline,
+        ..start(run(0, 1), START)
+    };
+    slots.start(ms(START), &entry(1), true, start);
+    slots.orders();
+    slots.answered(ms(START), &run(0, 1), StartAnswer::Accepted);
+    slots.tick(ms(deadline - 1));
+    assert_eq!(slots.orders(), []);
     slots.tick(ms(deadline));
     assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
 }
--- a/tests/support/besteffort.rs
+++ b/tests/support/besteffort.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use compact_str::CompactString;
-use lovagemill::besteffort::agent::{Answer, BackendServer, NoListing};
+use lovagemill::besteffort::agent::{Answer, BackendServer, ListCall, NoListing};
 use lovagemill::besteffort::line;
 use lovagemill::clock;
 use lovagemill::decide::besteffort::message::{
@@ -27,12 +27,8 @@
 
 /// One call of the agent that the test answers.
 pub enum Call {
-    /// A listing of a life, whether it renews the lease, and the way to answer it.
-    List(
-        CompactString,
-        bool,
-        oneshot::Sender<Result<Listing, NoListing>>,
-    ),
+    /// A listing, and the way to answer it.
+    List(ListCall, oneshot::Sender<Result<Listing, NoListing>>),
     /// A start in a life.
     Start(CompactString, Run, oneshot::Sender<StartAnswer>),
     /// A stop in a life.
@@ -73,7 +69,7 @@
     /// Waits for a listing of a life and returns the way to answer it.
     pub async fn list(&self, life: &str) -> oneshot::Sender<Result<Listing, NoListing>> {
         self.next("a listing", |call| match call {
-            Call::List(of, _, tx) if of == life => Ok(tx),
+            Call::List(of, tx) if of.life == life => Ok(tx),
             other => Err(other),
         })
         .await
@@ -126,13 +122,11 @@
                 stop.push(Call::Stop(life, run, tx));
                 Box::pin(async move { rx.await.unwrap_or(false) })
             }),
-            list: Box::new(
-                move |life, until, _| -> Answer<Result<Listing, NoListing>> {
-                    let (tx, rx) = oneshot::channel();
-                    list.push(Call::List(life, until.is_some(), tx));
-                    Box::pin(async move { rx.await.unwrap_or(Err(NoListing::Silent)) })
-                },
-            ),
+            list: Box::new(move |call| -> Answer<Result<Listing, NoListing>> {
+                let (tx, rx) = oneshot::channel();
+                list.push(Call::List(call, tx));
+                Box::pin(async move { rx.await.unwrap_or(Err(NoListing::Silent)) })
+            }),
         }
     }
 }
@@ -144,6 +138,7 @@
 ) -> Listing {
     Listing {
         clock_ms: clock::since_boot().as_millis() as u64,
+        last_end: ended.len() as u64,
         running,
         ended,
     }
--- /dev/null
+++ b/tests/users_platform/main.rs
@@ -0,0 +1,527 @@
+//! The two programs of the users' platform as processes, against stand-ins of its interfaces.
+
+mod processes;
+mod stand;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hyper::Method;
+use lovagemill::wire::http::{self, Answer, Call, Client, Error};
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use processes::Process;
+use stand::{Store, Worker};
+
+/// Longest that a caller of a test waits; nothing depends on it but a hang.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn block_on<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("a runtime can be built");
+    runtime.block_on(async {
+        tokio::time::timeout(processes::HANG, future)
+            .await
+            .expect("no hang")
+    })
+}
+
+fn route(prefix: &str) -> Value {
+    json!({"name": format!("r{}", prefix.replace('/', "-")), "host": "school.example", "path_prefix": prefix,
+        "type": "unsafe", "timeout_ms": 30000, "slo_ms": 5000, "priority": 0, "service": "svc",
+        "attempts": 2, "stretch": 3.0})
+}
+
+fn job(tasks: u32, ms: u32) -> Value {
+    json!({"spec": ms.to_string(), "best_effort": true,
+        "steps": [{"count": tasks, "cpu": 1000, "mem_mb": 10, "est_runtime_ms": ms}]})
+}
+
+/// The whole system: a store, entries, and workers with their agents.
+struct System {
+    store: Store,
+    entries: Vec<Process>,
+    agents: Vec<Process>,
+    workers: Vec<Worker>,
+    client: Client,
+}
+
+impl System {
+    async fn open(test: &str, entries: usize, workers: usize) -> System {
+        let store = Store::open().await;
+        store.configure(1, &[route("/trips/")]);
+        let client = http::open(1024 * 1024);
+        let start = |n| processes::entry(&format!("{test}-entry-{n}"), store.addr);
+        let mut system = System {
+            entries: (0..entries).map(start).collect(),
+            agents: Vec::new(),
+            workers: Vec::new(),
+            store,
+            client,
+        };
+        for n in 0..workers {
+            system.add_worker(test, n).await;
+        }
+        for entry in &system.entries {
+            for _ in 0..workers {
+                entry.line(|line| {
+                    line["message"] == "agent changed its mind about new work"
+                        && line["takes_work"] == true
+                });
+            }
+        }
+        system
+    }
+
+    async fn add_worker(&mut self, test: &str, n: usize) {
+        let worker = Worker::open(&format!("i-{n}")).await;
+        let seeds: Vec<String> = self
+            .entries
+            .iter()
+            .map(|entry| entry.addr("links"))
+            .collect();
+        let agent = processes::agent(
+            &format!("{test}-agent-{n}"),
+            self.store.addr,
+            worker.addr,
+            &seeds,
+        );
+        worker.announce(agent.addr("announce"), self.client.clone());
+        self.agents.push(agent);
+        self.workers.push(worker);
+    }
+
+    async fn call(
+        &self,
+        entry: usize,
+        call: (Method, &str, &str, String),
+    ) -> Result<Answer, Error> {
+        let (method, host, path, body) = call;
+        let uri = format!("http://{}{path}", self.entries[entry].addr("callers"));
+        let call = Call::new(method, uri, body).header("host", host);
+        self.client.call(call, PATIENCE).await
+    }
+
+    async fn submit(&self, entry: usize, id: u64, job: &Value) -> (u16, Value) {
+        let path = format!("/trips/{id:016x}");
+        let answer = self
+            .call(
+                entry,
+                (Method::POST, "school.example", &path, job.to_string()),
+            )
+            .await;
+        let answer = answer.expect("an answer");
+        (
+            answer.status.as_u16(),
+            serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
+        )
+    }
+
+    /// How often each task ran, and whether two runs of one met.
+    fn runs(&self) -> (BTreeMap<String, usize>, bool) {
+        let all: Vec<_> = self.workers.iter().flat_map(Worker::log).collect();
+        let mut counts = BTreeMap::new();
+        let mut met = false;
+        for (n, ran) in all.iter().enumerate() {
+            *counts.entry(ran.task.clone()).or_default() += 1;
+            met |= all[..n].iter().any(|other| {
+                let apart = other.ended.is_some_and(|end| end <= ran.began)
+                    || ran.ended.is_some_and(|end| end <= other.began);
+                other.task == ran.task && !apart
+            });
+        }
+        (counts, met)
+    }
+}
+
+/// A quiet day in small: every job is answered as complete, and each of its tasks ran once.
+#[test]
+fn a_calm_day_is_served() {
+    block_on(async {
+        let system = System::open("calm", 2, 3).await;
+        for round in 0..20_u64 {
+            let jobs = (0..4).map(|n| (n, round * 4 + n as u64));
+            let jobs: Vec<_> = jobs.collect();
+            let asked = job(1 + round as u32 % 4, 10);
+            let answers = jobs.iter().map(|(n, id)| system.submit(n % 2, *id, &asked));
+            for (status, body) in futures(answers).await {
+                assert_eq!((status, &body["state"]), (200, &json!("complete")));
+            }
+        }
+        let (counts, met) = system.runs();
+        assert!(counts.values().all(|n| *n == 1) && !met, "{counts:?}");
+        let tasks: u64 = (0..20).map(|round| 4 * (1 + round % 4)).sum();
+        assert_eq!(counts.len() as u64, tasks);
+    });
+}
+
+async fn futures<T>(all: impl Iterator<Item = impl std::future::Future<Output = T>>) -> Vec<T> {
+    let mut done = Vec::new();
+    let mut all: Vec<_> = all.map(Box::pin).collect();
+    std::future::poll_fn(|cx| {
+        all.retain_mut(|one| match one.as_mut().poll(cx) {
+            std::task::Poll::Ready(found) => {
+                done.push(found);
+                false
+            }
+            std::task::Poll::Pending => true,
+        });
+        if all.is_empty() {
+            std::task::Poll::Ready(())
+        } else {
+            std::task::Poll::Pending
+        }
+    })
+    .await;
+    done
+}
+
+/// Mistaken, strange and unserved requests get their answer, and the entry lives on: kinds of jobs
+/// that aren't served are refused as not run, never run by halves.
+#[test]
+fn what_callers_get_for_strange_requests() {
+    block_on(async {
+        let system = System::open("strange", 1, 1).await;
+        let id = "/trips/00000000000000aa";
+        let good = job(1, 5).to_string();
+        let step = |field: &str, value: Value| {
+            let mut job = job(1, 5);
+            job["steps"][0][field] = value;
+            job.to_string()
+        };
+        let with = |field: &str, value: Value| {
+            let mut job = job(1, 5);
+            job[field] = value;
+            job.to_string()
+        };
+        let host = "school.example";
+        let cases: Vec<(u16, Method, &str, &str, String)> = vec![
+            (400, Method::POST, host, id, "{".into()),
+            (400, Method::POST, host, id, "[]".into()),
+            (400, Method::POST, host, id, "\u{0}\u{1}".into()),
+            (400, Method::POST, host, id, with("steps", json!([]))),
+            (
+                400,
+                Method::POST,
+                host,
+                id,
+                with("spec", json!("x".repeat(4_001))),
+            ),
+            (400, Method::POST, host, id, step("count", json!(0))),
+            (400, Method::POST, host, id, step("count", json!(-1))),
+            (400, Method::POST, host, id, step("count", json!(100_000))),
+            (400, Method::POST, host, id, step("cpu", json!(-5))),
+            (
+                400,
+                Method::POST,
+                host,
+                id,
+                step("est_runtime_ms", json!(-1)),
+            ),
+            (
+                400,
+                Method::POST,
+                host,
+                id,
+                step("est_runtime_ms", json!("long")),
+            ),
+            (400, Method::POST, host, id, step("after", json!([0]))),
+            (
+                413,
+                Method::POST,
+                host,
+                id,
+                with("spec", json!("x".repeat(70_000))),
+            ),
+            (
+                503,
+                Method::POST,
+                host,
+                id,
+                with("best_effort", json!(false)),
+            ),
+            (503, Method::POST, host, id, with("times", json!(3))),
+            (503, Method::POST, host, id, step("gang", json!(true))),
+            (503, Method::POST, host, id, step("same_rack", json!(true))),
+            (503, Method::POST, host, id, step("daemon", json!(true))),
+            (
+                503,
+                Method::POST,
+                host,
+                id,
+                step("speculative", json!(true)),
+            ),
+            (503, Method::POST, host, id, step("checkpoint", json!(true))),
+            (503, Method::POST, host, id, step("fills", json!(true))),
+            (
+                503,
+                Method::POST,
+                host,
+                id,
+                step("requires", json!("no-such-label")),
+            ),
+            (503, Method::POST, host, id, step("cpu", json!(1_000_000))),
+            (404, Method::POST, "other.example", id, good.clone()),
+            (
+                404,
+                Method::POST,
+                host,
+                "/other/00000000000000aa",
+                good.clone(),
+            ),
+            (404, Method::POST, host, "/trips/short", good.clone()),
+            (
+                404,
+                Method::POST,
+                host,
+                "/trips/zzzzzzzzzzzzzzzz",
+                good.clone(),
+            ),
+            (410, Method::GET, host, id, String::new()),
+            (410, Method::DELETE, host, id, String::new()),
+            (405, Method::PUT, host, id, good.clone()),
+            (200, Method::GET, host, "/trips/", String::new()),
+            (404, Method::GET, host, "/none/", String::new()),
+        ];
+        for (status, method, host, path, body) in cases {
+            let shown: String = body.chars().take(120).collect();
+            let answer = system
+                .call(0, (method.clone(), host, path, body))
+                .await
+                .expect("an answer");
+            assert_eq!(
+                answer.status.as_u16(),
+                status,
+                "{method} {host}{path} {shown}"
+            );
+        }
+        assert_eq!(
+            system.submit(0, 1, &job(2, 5)).await.0,
+            200,
+            "the entry lives on"
+        );
+        assert_eq!(system.runs().0.len(), 2, "nothing else ran");
+    });
+}
+
+/// Half a request, or a sender that dawdles, holds no answer back for others and is turned out.
+#[test]
+fn a_slow_sender_is_turned_out() {
+    block_on(async {
+        let system = System::open("slow", 1, 1).await;
+        let mut slow = TcpStream::connect(system.entries[0].addr("callers"))
+            .await
+            .expect("connects");
+        let head = "POST /trips/00000000000000bb HTTP/1.1\r\nhost: school.example\r\ncontent-length: 50\r\n\r\n{";
+        slow.write_all(head.as_bytes()).await.expect("sent");
+        let mut garbage = TcpStream::connect(system.entries[0].addr("callers"))
+            .await
+            .expect("connects");
+        garbage
+            .write_all(b"\x16\x03\x01 no http at all\r\n\r\n")
+            .await
+            .expect("sent");
+        assert_eq!(system.submit(0, 1, &job(1, 5)).await.0, 200);
+        let mut answer = vec![0; 64];
+        let read = slow.read(&mut answer).await.expect("an answer");
+        assert!(
+            answer[..read].starts_with(b"HTTP/1.1 408"),
+            "{:?}",
+            String::from_utf8_lossy(&answer[..read])
+        );
+    });
+}
+
+/// An entry that is stopped cuts off a caller in the middle of its job. It must finish what it has,
+/// say that it closes, take itself out of the balancer, and only then end.
+#[test]
+fn a_stopping_entry_answers_what_it_has() {
+    block_on(async {
+        let mut system = System::open("stop", 1, 1).await;
+        let asked = job(2, 700);
+        let uri = format!("http://{}/-/ready", system.entries[0].addr("ready"));
+        let ready = system
+            .client
+            .call(Call::new(Method::GET, uri.clone(), ""), PATIENCE)
+            .await;
+        assert_eq!(ready.expect("an answer").status.as_u16(), 200);
+        let path = "/trips/0000000000000001";
+        let stopped = async {
+            while system.workers[0].log().is_empty() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            system.entries[0].signal("-TERM");
+            system.entries[0].line(|line| line["message"] == "entry stops");
+            let ready = system
+                .client
+                .call(Call::new(Method::GET, uri, ""), PATIENCE)
+                .await;
+            ready.expect("an answer").status.as_u16()
+        };
+        let call = system.call(0, (Method::POST, "school.example", path, asked.to_string()));
+        let (answer, ready) = tokio::join!(call, stopped);
+        assert_eq!(answer.expect("an answer").status.as_u16(), 200);
+        assert_eq!(ready, 503);
+        assert!(system.entries[0].ended());
+    });
+}
+
+/// An agent that is stopped loses the work of its backend server: it must let it end, and hand the
+/// answers over, before it goes.
+#[test]
+fn a_stopping_agent_lets_its_work_end() {
+    block_on(async {
+        let mut system = System::open("agent", 1, 1).await;
+        let asked = job(2, 600);
+        let stopped = async {
+            while system.workers[0].log().is_empty() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            system.agents[0].signal("-TERM");
+        };
+        let ((status, _), ()) = tokio::join!(system.submit(0, 1, &asked), stopped);
+        assert_eq!(status, 200);
+        assert!(system.agents[0].ended());
+        let (counts, _) = system.runs();
+        assert!(counts.values().all(|n| *n == 1), "{counts:?}");
+        assert_eq!(
+            system.submit(0, 2, &job(1, 5)).await.0,
+            503,
+            "nobody takes work"
+        );
+    });
+}
+
+/// Both programs ended by themselves when the platform said, with a HUP signal, that their settings
+/// had changed.
+#[test]
+fn a_hangup_reads_the_settings_again() {
+    block_on(async {
+        let system = System::open("hup", 1, 1).await;
+        for process in system.entries.iter().chain(&system.agents) {
+            process.signal("-HUP");
+            process.line(|line| line["message"] == "settings are read again and have not changed");
+        }
+        assert_eq!(system.submit(0, 1, &job(1, 5)).await.0, 200);
+    });
+}
+
+/// A configuration comes into force and never goes back, though the store's history is dropped, or
+/// the store is away.
+#[test]
+fn a_configuration_comes_into_force_and_stays() {
+    block_on(async {
+        let system = System::open("config", 1, 1).await;
+        let status = |path: &'static str| {
+            let call = system.call(0, (Method::GET, "school.example", path, String::new()));
+            async move { call.await.expect("an answer").status.as_u16() }
+        };
+        let in_force = |version: u64| {
+            system.entries[0].line(|line| {
+                line["message"] == "configuration is in force" && line["version"] == version
+            });
+        };
+        system
+            .store
+            .configure(5, &[route("/trips/"), route("/new/")]);
+        in_force(5);
+        assert_eq!(status("/new/").await, 200);
+        system.store.compact();
+        system.store.configure(9, &[route("/new/")]);
+        in_force(9);
+        assert_eq!(status("/trips/").await, 404);
+        system.store.configure(3, &[route("/old/")]);
+        system
+            .store
+            .configure(11, &[route("/new/"), route("/last/")]);
+        in_force(11);
+        system.store.set_away(true);
+        system.entries[0]
+            .line(|line| line["message"] == "configuration can't be read; what is known stays");
+        assert_eq!((status("/new/").await, status("/old/").await), (200, 404));
+        system.store.set_away(false);
+        system.entries[0].line(|line| line["message"] == "the store is back");
+    });
+}
+
+/// A process stands still because nobody reads its log: the pipe fills up, and the next line blocks
+/// it. Lines are dropped instead.
+#[test]
+fn a_log_that_nobody_reads_blocks_nothing() {
+    block_on(async {
+        let store = Store::open().await;
+        store.configure(1, &[route("/trips/")]);
+        let entry = processes::unread_entry("unread-entry", store.addr);
+        let client = http::open(1024 * 1024);
+        // Each refused job writes a line of some 300 bytes; a pipe holds 64 KiB, and the queue 1,024 lines.
+        for id in 0..4_000_u64 {
+            let uri = format!("http://{}/trips/{id:016x}", entry.addr("callers"));
+            let call = Call::new(Method::POST, uri, job(1, 5).to_string())
+                .header("host", "school.example");
+            let answer = client.call(call, PATIENCE).await.expect("an answer");
+            assert_eq!(answer.status.as_u16(), 503);
+        }
+    });
+}
+
+/// Work goes to a worker that has said that it leaves.
+#[test]
+fn a_leaving_worker_gets_nothing_new() {
+    block_on(async {
+        let system = System::open("leave", 1, 2).await;
+        system.workers[0].leave();
+        system.entries[0].line(|line| {
+            line["message"] == "agent changed its mind about new work"
+                && line["takes_work"] == false
+        });
+        let before = system.workers[0].log().len();
+        for id in 0..20 {
+            assert_eq!(system.submit(0, id, &job(2, 5)).await.0, 200);
+        }
+        assert_eq!(system.workers[0].log().len(), before);
+    });
+}
+
+/// A caller whose entry is killed submits again elsewhere, 1.3 s later: nothing of the first run may
+/// be left by then. The backend servers live on and say when each run ended.
+#[test]
+fn nothing_outlives_a_killed_entry() {
+    block_on(async {
+        let mut system = System::open("killed", 2, 1).await;
+        let asked = job(2, 5_000);
+        let killed = async {
+            while system.workers[0].log().len() < 2 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            system.entries[0].signal("-KILL");
+        };
+        let path = "/trips/0000000000000001";
+        let call = system.call(0, (Method::POST, "school.example", path, asked.to_string()));
+        let (answer, ()) = tokio::join!(call, killed);
+        assert!(answer.is_err(), "the connection broke");
+        while system.workers[0]
+            .log()
+            .iter()
+            .any(|ran| ran.ended.is_none())
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let long = system.workers[0]
+            .log()
+            .iter()
+            .map(|ran| ran.ended.expect("seen") - ran.began)
+            .max();
+        assert!(
+            long.expect("two runs") < Duration::from_millis(5_000),
+            "they ran to their end"
+        );
+        assert!(!system.entries[0].ended());
+        assert_eq!(system.submit(1, 1, &job(2, 20)).await.0, 200);
+        assert!(!system.runs().1, "two runs met");
+    });
+}
--- /dev/null
+++ b/tests/users_platform/processes.rs
@@ -0,0 +1,144 @@
+//! Starts the two programs of the users' platform on free ports, and ends them and only them.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+
+use crate::stand::any;
+
+const ENTRY: &str = env!("CARGO_BIN_EXE_lovagemill-platform-entry");
+const AGENT: &str = env!("CARGO_BIN_EXE_lovagemill-platform-agent");
+
+/// Ends a hang; no verdict depends on it.
+pub const HANG: Duration = Duration::from_secs(60);
+
+/// A process that is killed when the test ends, however it ends.
+pub struct Process {
+    child: Child,
+    listens: Value,
+    lines: mpsc::Receiver<Value>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn settings(name: &str, content: &Value) -> PathBuf {
+    let file = format!("{}-{name}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
+    std::fs::write(&path, content.to_string()).expect("the settings can be written");
+    path
+}
+
+fn start(binary: &str, name: &str, content: &Value, read: bool) -> Process {
+    let mut command = Command::new(binary);
+    command
+        .env("LOVAGEMILL_BOOT", settings(name, content))
+        .env_remove("RUST_LOG");
+    command
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null());
+    let mut child = command.spawn().expect("it starts");
+    let stdout = child.stdout.take().expect("stdout is piped");
+    let (tx, lines) = mpsc::channel();
+    thread::spawn(move || {
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            let line: Value = serde_json::from_str(&line).expect("logs are JSON lines");
+            let is_last = !read
+                && line["message"]
+                    .as_str()
+                    .is_some_and(|m| m.ends_with("listens"));
+            if tx.send(line).is_err() {
+                return;
+            }
+            // A reader that stops: the pipe stays open and fills up.
+            while is_last {
+                thread::sleep(HANG);
+            }
+        }
+    });
+    let mut process = Process {
+        child,
+        listens: Value::Null,
+        lines,
+    };
+    process.listens = process.line(|line| {
+        line["message"]
+            .as_str()
+            .is_some_and(|m| m.ends_with("listens"))
+    });
+    process
+}
+
+/// Starts an entry.
+pub fn entry(name: &str, store: SocketAddr) -> Process {
+    start(ENTRY, name, &entry_settings(name, store), true)
+}
+
+/// Starts an entry whose log nobody reads once it listens.
+pub fn unread_entry(name: &str, store: SocketAddr) -> Process {
+    start(ENTRY, name, &entry_settings(name, store), false)
+}
+
+fn entry_settings(name: &str, store: SocketAddr) -> Value {
+    json!({"name": name, "failure_domain": "z", "callers": any(), "ready": any(), "links": any(),
+        "metrics": any(), "seeds": [], "store": store, "stop_within_s": 6})
+}
+
+/// Starts an agent beside a backend server.
+pub fn agent(name: &str, store: SocketAddr, backend: SocketAddr, seeds: &[String]) -> Process {
+    let content = json!({"name": name, "failure_domain": "z", "announce": any(), "backend": backend,
+        "metrics": any(), "seeds": seeds, "store": store, "stop_within_s": 6});
+    start(AGENT, name, &content, true)
+}
+
+impl Process {
+    /// A bound address, by the name that the log gives it.
+    pub fn addr(&self, name: &str) -> String {
+        self.listens[name]
+            .as_str()
+            .expect("the address is told")
+            .to_owned()
+    }
+
+    /// Waits for a log line.
+    pub fn line(&self, is_wanted: impl Fn(&Value) -> bool) -> Value {
+        let until = Instant::now() + HANG;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left).expect("never: a log line");
+            if is_wanted(&line) {
+                return line;
+            }
+        }
+    }
+
+    /// Sends a signal to the process, by its id.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits until the process has ended by itself; tells whether it ended well.
+    pub fn ended(&mut self) -> bool {
+        let until = Instant::now() + HANG;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("the child is ours") {
+                return status.success();
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        panic!("the process doesn't end");
+    }
+}
--- /dev/null
+++ b/tests/users_platform/stand.rs
@@ -0,0 +1,377 @@
+//! Stand-ins of the users' platform, by its pages: the store, and a worker that runs tasks.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Method, Request};
+use lovagemill::platform::http::{self, Caps, Reply};
+use lovagemill::wire::http::{Call, Client};
+use serde_json::{json, Value};
+
+const CAPS: Caps = Caps {
+    connections: 500,
+    head: 0,
+    idle: Duration::from_secs(60),
+};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+pub fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn body(req: Request<Incoming>) -> Value {
+    let bytes = req.into_body().collect().await.map(|body| body.to_bytes());
+    bytes
+        .ok()
+        .and_then(|bytes| serde_json::from_slice(&bytes).ok())
+        .unwrap_or(Value::Null)
+}
+
+fn query(req: &Request<Incoming>) -> HashMap<String, String> {
+    let pairs = req.uri().query().unwrap_or_default().split('&');
+    let pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), value.replace("%20", " ")))
+        .collect()
+}
+
+/// The store: rows of tables, with versions and a feed.
+#[derive(Clone)]
+pub struct Store {
+    pub addr: SocketAddr,
+    state: Arc<Mutex<Rows>>,
+    away: Arc<AtomicBool>,
+}
+
+type Keyed = BTreeMap<(String, String), (String, u64)>;
+
+#[derive(Default)]
+struct Rows {
+    rows: Keyed,
+    version: u64,
+    oldest: u64,
+}
+
+impl Store {
+    pub async fn open() -> Store {
+        let state: Arc<Mutex<Rows>> = Arc::default();
+        let away: Arc<AtomicBool> = Arc::default();
+        let (rows, gone) = (state.clone(), away.clone());
+        let began = Instant::now();
+        let answer = move |req| {
+            let (rows, gone) = (rows.clone(), gone.clone());
+            async move {
+                if gone.load(Ordering::SeqCst) {
+                    return http::empty(503);
+                }
+                serve(&rows, req, began).await
+            }
+        };
+        let addr = http::bind(any(), || CAPS, answer)
+            .await
+            .expect("a free port");
+        Store { addr, state, away }
+    }
+
+    /// The operator writes a configuration.
+    pub fn configure(&self, version: u64, routes: &[Value]) {
+        let config = json!({
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "svc", "enforces_capacity": true}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                "header_timeout_ms": 1000, "idle_timeout_ms": 15000},
+        });
+        let mut state = lock(&self.state);
+        state.version += 1;
+        let row = (STANDARD.encode(config.to_string()), state.version);
+        state.rows.insert(("op".into(), "config".into()), row);
+    }
+
+    /// Drops the history: watches from before hear that it is gone.
+    pub fn compact(&self) {
+        let mut state = lock(&self.state);
+        state.version += 1;
+        state.oldest = state.version;
+    }
+
+    pub fn set_away(&self, away: bool) {
+        self.away.store(away, Ordering::SeqCst);
+    }
+}
+
+async fn serve(state: &Mutex<Rows>, req: Request<Incoming>, began: Instant) -> Reply {
+    let now_ms = began.elapsed().as_millis() as u64;
+    let asked = query(&req);
+    let text = |name: &str| asked.get(name).cloned().unwrap_or_default();
+    match req.uri().path() {
+        "/-/rows-get" => {
+            let state = lock(state);
+            let (table, from) = (text("table"), text("from"));
+            let to = asked.get("to").cloned();
+            let rows = state.rows.iter().filter(|((of, key), _)| {
+                *of == table && *key >= from && to.as_ref().is_none_or(|to| key < to)
+            });
+            let rows: Vec<Value> = rows.map(row).collect();
+            http::json(
+                200,
+                &json!({"rows": rows, "has_more": false, "ver": state.version, "now_ms": now_ms}),
+            )
+        }
+        "/-/rows-feed" => {
+            let after: u64 = text("after").parse().unwrap_or(0);
+            let wait = Duration::from_millis(text("wait_ms").parse().unwrap_or(0));
+            let until = Instant::now() + wait;
+            loop {
+                {
+                    let state = lock(state);
+                    if after < state.oldest {
+                        return http::empty(410);
+                    }
+                    let table = text("table");
+                    let rows = state
+                        .rows
+                        .iter()
+                        .filter(|((of, _), (_, ver))| *of == table && *ver > after);
+                    let rows: Vec<Value> = rows.map(row).collect();
+                    if !rows.is_empty() || Instant::now() >= until {
+                        return http::json(
+                            200,
+                            &json!({"rows": rows, "ver": state.version, "now_ms": now_ms}),
+                        );
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        "/-/rows-tx" => {
+            let change = body(req).await;
+            let mut state = lock(state);
+            state.version += 1;
+            let version = state.version;
+            let name =
+                |row: &Value, field: &str| row[field].as_str().unwrap_or_default().to_owned();
+            for row in change["set_keys"].as_array().into_iter().flatten() {
+                let key = (name(row, "table"), name(row, "key"));
+                state.rows.insert(key, (name(row, "value"), version));
+            }
+            for row in change["remove"].as_array().into_iter().flatten() {
+                state.rows.remove(&(name(row, "table"), name(row, "key")));
+            }
+            http::json(200, &json!({"ver": version, "now_ms": now_ms}))
+        }
+        _ => http::empty(404),
+    }
+}
+
+fn row(((table, key), (value, ver)): (&(String, String), &(String, u64))) -> Value {
+    json!({"table": table, "part": "", "key": key, "value": value, "ver": ver})
+}
+
+/// One run that a worker had.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub task: String,
+    pub began: Instant,
+    pub ended: Option<Instant>,
+}
+
+#[derive(Default)]
+struct Work {
+    running: BTreeMap<(String, u64), (Instant, Duration)>,
+    finished: Vec<(u64, String, u64, &'static str)>,
+    number: u64,
+    token: u64,
+    lease: u64,
+    log: Vec<Ran>,
+}
+
+/// A worker beside an agent: runs each task for as many milliseconds as its input says.
+#[derive(Clone)]
+pub struct Worker {
+    pub addr: SocketAddr,
+    pub id: String,
+    work: Arc<Mutex<Work>>,
+    began: Instant,
+    leaving: Arc<AtomicBool>,
+}
+
+impl Worker {
+    pub async fn open(id: &str) -> Worker {
+        let worker = Worker {
+            addr: any(),
+            id: id.into(),
+            work: Arc::default(),
+            began: Instant::now(),
+            leaving: Arc::default(),
+        };
+        let serving = worker.clone();
+        let answer = move |req| {
+            let worker = serving.clone();
+            async move { worker.answer(req).await }
+        };
+        let addr = http::bind(any(), || CAPS, answer)
+            .await
+            .expect("a free port");
+        let settling = worker.clone();
+        tokio::spawn(async move {
+            loop {
+                settling.settle();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+        Worker { addr, ..worker }
+    }
+
+    /// Announces itself to an agent from now on.
+    pub fn announce(&self, agent: String, client: Client) {
+        let worker = self.clone();
+        tokio::spawn(async move {
+            for seq in 1.. {
+                let uri = format!("http://{agent}/-/instances/{}/heartbeat", worker.id);
+                let leaving = worker.leaving.load(Ordering::SeqCst);
+                let beat = json!({"service": "svc", "addr": worker.addr.to_string(), "zone": "z",
+                    "version": "v1", "slots": 8, "state": if leaving { "draining" } else { "ready" },
+                    "cold_left_ms": 0, "labels": ["a", "r1-1"], "seq": seq,
+                    "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0}});
+                let call = Call::new(Method::POST, uri, beat.to_string());
+                // The agent may be away for a while.
+                let _ = client.call(call, Duration::from_secs(1)).await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+    }
+
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Every run so far.
+    pub fn log(&self) -> Vec<Ran> {
+        lock(&self.work).log.clone()
+    }
+
+    fn clock_ms(&self) -> u64 {
+        1_000_000 + self.began.elapsed().as_millis() as u64
+    }
+
+    fn settle(&self) {
+        let now = self.clock_ms();
+        let mut work = lock(&self.work);
+        let lapsed = now > work.lease;
+        let over = work
+            .running
+            .iter()
+            .filter(|(_, (began, long))| lapsed || began.elapsed() >= *long);
+        let over: Vec<(String, u64)> = over.map(|(key, _)| key.clone()).collect();
+        for key in over {
+            work.end(&key, if lapsed { "lapsed" } else { "done" });
+        }
+    }
+
+    async fn answer(self, req: Request<Incoming>) -> Reply {
+        let meant = req.headers().get("x-lovagemill-expect-instance").cloned();
+        if meant.is_some_and(|meant| meant != self.id.as_str()) {
+            return http::empty(421);
+        }
+        let path = req.uri().path().to_owned();
+        let order = body(req).await;
+        self.settle();
+        let token = order["fencing_token"].as_u64().unwrap_or(0);
+        {
+            let mut work = lock(&self.work);
+            if token < work.token {
+                return http::json(
+                    409,
+                    &json!({"clock_ms": self.clock_ms(), "reason": "fence"}),
+                );
+            }
+            work.token = token;
+            work.lease = work.lease.max(order["deadline_ms"].as_u64().unwrap_or(0));
+        }
+        let key = || {
+            let task = order["task"].as_str().unwrap_or_default().to_owned();
+            (task, order["run"].as_u64().unwrap_or(0))
+        };
+        match path.as_str() {
+            "/-/run-start" => self.start(key(), &order),
+            "/-/run-stop" => {
+                lock(&self.work).end(&key(), "stopped");
+                http::json(200, &json!({"clock_ms": self.clock_ms()}))
+            }
+            "/-/hold" => self.hold(&order).await,
+            _ => http::empty(404),
+        }
+    }
+
+    fn start(&self, key: (String, u64), order: &Value) -> Reply {
+        let now = self.clock_ms();
+        if order["deadline_ms"].as_u64().unwrap_or(0) <= now {
+            return http::json(409, &json!({"clock_ms": now, "reason": "late"}));
+        }
+        let long = order["spec"]
+            .as_str()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(5);
+        let mut work = lock(&self.work);
+        work.log.push(Ran {
+            task: key.0.clone(),
+            began: Instant::now(),
+            ended: None,
+        });
+        work.running
+            .insert(key, (Instant::now(), Duration::from_millis(long)));
+        http::json(200, &json!({"clock_ms": now}))
+    }
+
+    async fn hold(&self, order: &Value) -> Reply {
+        let acknowledged = order["ack_cursor"].as_u64().unwrap_or(0);
+        lock(&self.work)
+            .finished
+            .retain(|(number, ..)| *number > acknowledged);
+        let until = Instant::now() + Duration::from_millis(order["wait_ms"].as_u64().unwrap_or(0));
+        while lock(&self.work).finished.is_empty() && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            self.settle();
+        }
+        let work = lock(&self.work);
+        let running: Vec<Value> = work
+            .running
+            .keys()
+            .map(|(task, run)| json!([task, run, "", 50, 1000]))
+            .collect();
+        let finished = work
+            .finished
+            .iter()
+            .map(|(n, task, run, how)| json!([n, task, run, how, ""]));
+        let finished: Vec<Value> = finished.collect();
+        http::json(
+            200,
+            &json!({"clock_ms": self.clock_ms(), "running": running, "finished": finished}),
+        )
+    }
+}
+
+impl Work {
+    fn end(&mut self, key: &(String, u64), how: &'static str) {
+        if self.running.remove(key).is_none() {
+            return;
+        }
+        self.number += 1;
+        self.finished.push((self.number, key.0.clone(), key.1, how));
+        let mut log = self.log.iter_mut().rev();
+        if let Some(ran) = log.find(|ran| ran.task == key.0 && ran.ended.is_none()) {
+            ran.ended = Some(Instant::now());
+        }
+    }
+}
