--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod config;
+pub mod explain;
 pub mod status;
 pub mod submit;
 pub mod work;
@@ -67,6 +68,12 @@
     ///
     /// Only the owner of a cell knows its queues; ask another entry where none is shown.
     Status(status::StatusOpts),
+    /// Tell the story of one best-effort job out of the logs of several processes
+    ///
+    /// Lines about the job come with the time since its first, in milliseconds; lines marked with ~
+    /// are what the processes believed of its agents around that time. docs/OPERATIONS.md reads
+    /// three such stories.
+    Explain(explain::ExplainOpts),
     /// Drain an entry: it hands over, answers what is in flight, and stops
     Drain(EntryOpts),
 }
@@ -117,6 +124,7 @@
         Command::Cancel(opts) => submit::cancel(&opts).await,
         Command::Config(command) => config::run(command).await,
         Command::Status(opts) => status::run(&opts).await,
+        Command::Explain(opts) => explain::run(&opts),
         Command::Drain(entry) => drain(&entry).await,
     }
 }
--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -40,6 +40,9 @@
 /// the wait turned out longer than expected. What would be late holds up what needn't be.
 const HOPELESS: f64 = 1.0;
 
+/// Run times over the estimate after which a job's ending names the agents that had its tasks.
+const SLACK_OF_WIDTH: f64 = 1.5;
+
 /// How far run numbers jump after a start that didn't begin; a second's worth.
 const RUN_STEP: u64 = 1_000;
 
@@ -335,6 +338,7 @@
         match end.how {
             How::Done => {
                 task.state = State::Done;
+                task.last = Some(placed.agent.clone());
                 job.left -= 1;
                 let left = job.left;
                 let took = time::Duration::from_millis(end.took_ms);
@@ -558,7 +562,13 @@
         let failed: u32 = job.tasks.iter().map(|task: &Task| task.failed).sum();
         let ms = |d: time::Duration| d.as_millis() as u64;
         let waited = job.first_start.unwrap_or(now).saturating_sub(job.arrived);
-        log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(),
+        let places =
+            if now > job.latest + job.estimate.mul_f64(SLACK_OF_WIDTH) || failed + job.moved > 0 {
+                job.places()
+            } else {
+                compact_str::CompactString::default()
+            };
+        log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(), places = places.as_str(),
             outcome = outcome.name(), why = why, tasks = job.ask.tasks, starts = job.starts,
             failed = failed, moved = job.moved, estimate_ms = ms(job.estimate),
             waited_ms = ms(waited), took_ms = ms(now.saturating_sub(job.arrived)),
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -12,6 +12,9 @@
 /// Tells the links of an entry to its agents apart.
 pub type LinkNo = u64;
 
+/// Most agents that an ending names, so that a line stays short.
+const MAX_PLACES: usize = 32;
+
 /// The order in which tasks wait: urgency of the class, then the latest start that meets the target.
 pub type Rank = (u32, time::Duration, JobNo, crate::id::TaskIndex);
 
@@ -174,6 +177,16 @@
         (self.ask.priority, self.latest, no, task)
     }
 
+    /// The agents that have or had the tasks, in the order of the tasks, for the log.
+    pub fn places(&self) -> CompactString {
+        let names = self.tasks.iter().map(|task| match &task.state {
+            State::Placed(placed) => placed.agent.as_str(),
+            State::Waiting | State::Done => task.last.as_deref().unwrap_or("-"),
+        });
+        let names: Vec<&str> = names.take(MAX_PLACES).collect();
+        names.join(",").into()
+    }
+
     /// The work of one task, in thousandths of a core times seconds.
     pub fn task_work(&self) -> f64 {
         self.ask.need.cpu as f64 * self.estimate.as_secs_f64()
--- a/tests/users_platform/processes.rs
+++ b/tests/users_platform/processes.rs
@@ -62,8 +62,10 @@
                 return;
             }
             // A reader that stops: the pipe stays open and fills up.
-            while is_last {
-                thread::sleep(HANG);
+            if is_last {
+                loop {
+                    thread::sleep(HANG);
+                }
             }
         }
     });
