Forecast the wait by the room that comes free, not by work

A wait ends when room comes free, and the room that a short task leaves serves a long one as well. Test: a_long_job_isn_t_refused_for_its_own_length, refused before.

--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -138,8 +138,7 @@
         for task in 0..job.ask.tasks {
             self.queue.insert(job.rank(no, task));
         }
-        let work = job.task_work() * f64::from(job.ask.tasks);
-        self.flow.came(now, job.ask.priority, work);
+        self.flow.came(now, job.ask.priority, job.room());
         self.jobs.insert(no, job);
         self.dispatch(now);
         Admitted::Job(no)
--- a/src/decide/besteffort/flow.rs
+++ b/src/decide/besteffort/flow.rs
@@ -1,7 +1,9 @@
-//! How much work flows through an entry: what came, by priority, and what was started.
+//! How much room flows through an entry: what came asked for, by priority, and what was taken.
 //!
 //! Under overload the rate of its own starts is the best word on an entry's part of the shared
-//! workers: it holds what slow workers, other entries and losses leave.
+//! workers: it holds what slow workers, other entries and losses leave. It is counted in room and
+//! not in work: a wait ends when room comes free, and room that a short task leaves serves a long
+//! one as well.
 
 use std::collections::BTreeMap;
 use std::time;
@@ -33,32 +35,44 @@
     }
 }
 
-/// The flow of work; work is in thousandths of a core times seconds.
+/// The flow of room, in thousandths of a core.
 #[derive(Clone, Debug, Default)]
 pub struct Flow {
     came: BTreeMap<u32, Rate>,
-    started: Rate,
+    room: Rate,
+    work: Rate,
 }
 
 impl Flow {
-    /// Work of a priority has come and was taken in.
-    pub fn came(&mut self, now: time::Duration, priority: u32, work: f64) {
-        self.came.entry(priority).or_default().add(now, work);
+    /// A job of a priority was taken in that asks for this much room in all.
+    pub fn came(&mut self, now: time::Duration, priority: u32, room: f64) {
+        self.came.entry(priority).or_default().add(now, room);
     }
 
-    /// Work was started.
-    pub fn started(&mut self, now: time::Duration, work: f64) {
-        self.started.add(now, work);
+    /// A task was started in this much room, for about so long.
+    pub fn started(&mut self, now: time::Duration, room: f64, long: time::Duration) {
+        self.room.add(now, room);
+        self.work.add(now, room * long.as_secs_f64());
     }
 
-    /// Work that comes a second and goes before a priority.
+    /// Room that is asked for a second and goes before a priority.
     pub fn more_urgent(&self, now: time::Duration, priority: u32) -> f64 {
         let more = self.came.range(..priority);
         more.map(|(_, rate)| rate.per_second(now)).sum()
     }
 
-    /// Work that is started a second.
+    /// Room that is taken a second.
     pub fn starts(&self, now: time::Duration) -> f64 {
-        self.started.per_second(now)
+        self.room.per_second(now)
+    }
+
+    /// How long room is taken for on average, in seconds; `otherwise` before anything was started.
+    pub fn mean_seconds(&self, now: time::Duration, otherwise: f64) -> f64 {
+        let room = self.room.per_second(now);
+        if room > 0.0 {
+            self.work.per_second(now) / room
+        } else {
+            otherwise
+        }
     }
 }
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -187,9 +187,9 @@
         names.join(",").into()
     }
 
-    /// The work of one task, in thousandths of a core times seconds.
-    pub fn task_work(&self) -> f64 {
-        self.ask.need.cpu as f64 * self.estimate.as_secs_f64()
+    /// The room of all its tasks, in thousandths of a core.
+    pub fn room(&self) -> f64 {
+        self.ask.need.cpu as f64 * f64::from(self.ask.tasks)
     }
 
     /// Opens a job whose tasks all wait.
--- a/src/decide/besteffort/place.rs
+++ b/src/decide/besteffort/place.rs
@@ -38,6 +38,9 @@
 /// Least part of its rate that is left for a class by more urgent ones; keeps the wait finite.
 const LEAST_LEFT: f64 = 0.1;
 
+/// Shortest time for which room is taken, in seconds.
+const SHORTEST: f64 = 0.001;
+
 /// Longest wait that is told apart, in seconds.
 const MAX_WAIT: f64 = 60.0;
 
@@ -46,9 +49,9 @@
 pub struct Forecast {
     /// How long its last task waits for room.
     pub wait: time::Duration,
-    /// Work that goes before it.
+    /// Room that is asked for before it, in thousandths of a core.
     pub ahead: f64,
-    /// Work that is started a second, less what is more urgent.
+    /// Room that is taken a second, less what is more urgent.
     pub rate: f64,
     /// Tasks like its own that fit somewhere now.
     pub room: i64,
@@ -62,7 +65,7 @@
         view.backend.service == ask.service && ask.requires.as_ref().is_none_or(labelled)
     }
 
-    /// How long a new job would wait until all its tasks have room, by the work that goes before it
+    /// How long a new job would wait until all its tasks have room, by what is asked for before it
     /// and the rate at which room has come free for this entry lately.
     pub(super) fn forecast(&self, now: time::Duration, job: &Job) -> Forecast {
         let there = self.agents.values().filter(|view| view.is_there());
@@ -78,7 +81,7 @@
             .queue
             .range(..own)
             .filter_map(|(.., no, _)| self.jobs.get(no))
-            .map(Job::task_work)
+            .map(|other| other.ask.need.cpu as f64)
             .sum();
         let mut forecast = Forecast {
             wait: time::Duration::ZERO,
@@ -89,10 +92,12 @@
         if ahead == 0.0 && free > 0 {
             return forecast;
         }
-        let rate = self.flow.starts(now).max(share * LEAST_SHARE);
+        let long = self.flow.mean_seconds(now, job.estimate.as_secs_f64());
+        let rate = share * LEAST_SHARE / long.max(SHORTEST);
+        let rate = self.flow.starts(now).max(rate);
         let urgent = self.flow.more_urgent(now, job.ask.priority);
         forecast.rate = (rate - urgent).max(rate * LEAST_LEFT).max(1.0);
-        let all = ahead + job.task_work() * f64::from(job.ask.tasks);
+        let all = ahead + job.room();
         forecast.wait = time::Duration::from_secs_f64((all / forecast.rate).min(MAX_WAIT));
         forecast
     }
@@ -169,8 +174,8 @@
             deadline_ms: job.ask.deadline.as_millis() as u64,
             patience_ms: PATIENCE.as_millis() as u64,
         };
-        let work = job.task_work();
-        self.flow.started(now, work);
+        self.flow
+            .started(now, job.ask.need.cpu as f64, job.estimate);
         self.counts.starts += 1;
         self.actions.push(Action::Start(link, start));
         true
--- a/tests/besteffort_board.rs
+++ b/tests/besteffort_board.rs
@@ -377,3 +377,47 @@
         Admitted::Answered(Outcome::NotRun(NotRun::Stopping, _))
     ));
 }
+
+/// A usual busy moment: short urgent jobs take three quarters of the room, and more of them have just
+/// come than fit. A long job was refused, because its own work was taken for a wait; room comes free
+/// every few milliseconds, and the job would have met its target.
+#[test]
+fn a_long_job_isn_t_refused_for_its_own_length() {
+    let mut board = open(1, 4);
+    let mut running: Vec<(u64, Run)> = Vec::new();
+    let mut taken = 0;
+    let mut at = START;
+    for n in 0..60 {
+        at += 33;
+        running.retain(|(until, run)| {
+            if *until <= at {
+                let mut line = line(4, taken);
+                line.ended.push(Ended {
+                    run: run.clone(),
+                    how: How::Done,
+                    took_ms: 100,
+                });
+                board.heard(ms(at), 1, &line);
+            }
+            *until > at
+        });
+        board.heard(ms(at), 1, &line(4 - running.len() as i64, taken));
+        let mut short = ask(&format!("short-{n}"), 1, 0);
+        short.deadline = ms(at + 5_000);
+        submit(&mut board, at, short);
+        for (_, start) in starts(&mut board) {
+            taken += 1;
+            running.push((at + 100, start.run));
+        }
+    }
+    for n in 0..4 {
+        let mut short = ask(&format!("more-{n}"), 1, 0);
+        short.deadline = ms(at + 5_000);
+        submit(&mut board, at, short);
+    }
+    let mut long = ask("long", 2, 2);
+    long.declared = ms(900);
+    long.deadline = ms(at + 5_000);
+    let admitted = board.submit(ms(at), long);
+    assert!(matches!(admitted, Admitted::Job(_)), "{admitted:?}");
+}
