A failed task waits for another worker; failures of a worker are weighed

Change: failures fade by 0.7 with each success; a failed task goes elsewhere while another worker is there.

--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -347,7 +347,7 @@
                 let took = time::Duration::from_millis(end.took_ms);
                 self.learned.done(&class, &placed.agent, estimate, took);
                 if let Some(view) = self.agents.get_mut(&placed.agent) {
-                    view.recovered();
+                    view.done();
                 }
                 if left == 0 {
                     self.finish(now, no, Outcome::Complete);
--- a/src/decide/besteffort/place.rs
+++ b/src/decide/besteffort/place.rs
@@ -183,12 +183,21 @@
 
     /// The agent with room where the task is expected to end first.
     fn choose(&self, now: time::Duration, job: &Job, index: id::TaskIndex) -> Option<id::AgentId> {
-        let last = job.tasks[index as usize].last.as_ref();
+        let task = &job.tasks[index as usize];
+        // A second failure at the same worker may be the job's last: it waits for another one.
+        let failed_at = task
+            .last
+            .as_ref()
+            .filter(|_| task.failed > 0 && self.has_other(job));
+        let last = task.last.as_ref();
         let mut best: Option<(f64, &View)> = None;
         for view in self.agents.values() {
             if !view.takes(now) || !self.suits(job, view) || !view.free().fits(&job.ask.need) {
                 continue;
             }
+            if failed_at == Some(&view.agent) {
+                continue;
+            }
             if !self.has_share(job, view) || self.too_slow(now, job, view) {
                 continue;
             }
@@ -203,6 +212,11 @@
         best.map(|(_, view)| view.agent.clone())
     }
 
+    fn has_other(&self, job: &Job) -> bool {
+        let there = self.agents.values().filter(|view| view.is_there());
+        there.filter(|view| self.suits(job, view)).count() > 1
+    }
+
     fn has_share(&self, job: &Job, view: &View) -> bool {
         let Some(most) = job.ask.per_worker else {
             return true;
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -9,8 +9,16 @@
 use crate::decide::besteffort::message::{Backend, FromAgent, Room};
 use crate::id;
 
-/// Failures in a row, without a success between them, after which an agent gets one task at a time.
-const FAILING: u32 = 2;
+/// Weight of past failures, each counted as 1, after which an agent is barred and then gets one task
+/// at a time. A second failure within two tasks of the first reaches it; tasks that fail through their
+/// own fault (2 in 1,000) never do.
+const FAILING: f64 = 1.4;
+
+/// What a task that was done leaves of that weight.
+const FORGIVES: f64 = 0.7;
+
+/// Weight under which an agent counts as sound again.
+const SOUND: f64 = 0.5;
 
 /// How long such an agent is left alone before the next task is risked; doubled each time.
 const BAR: time::Duration = time::Duration::from_millis(500);
@@ -42,7 +50,7 @@
     free: Room,
     sent: u64,
     unread: VecDeque<(u64, Room)>,
-    failures: u32,
+    failures: f64,
     barred_until: time::Duration,
     bar: time::Duration,
     avoid_until: time::Duration,
@@ -63,7 +71,7 @@
             free: Room::default(),
             sent: 0,
             unread: VecDeque::new(),
-            failures: 0,
+            failures: 0.0,
             barred_until: time::Duration::ZERO,
             bar: BAR,
             avoid_until: time::Duration::ZERO,
@@ -124,7 +132,7 @@
 
     /// A run failed, or the backend server turned it away. Returns whether the agent is barred now.
     pub fn failed(&mut self, now: time::Duration) -> bool {
-        self.failures += 1;
+        self.failures += 1.0;
         if self.failures < FAILING {
             return false;
         }
@@ -134,8 +142,16 @@
     }
 
     /// A run was done.
-    pub fn recovered(&mut self) {
-        self.failures = 0;
+    pub fn done(&mut self) {
+        self.failures *= FORGIVES;
+        if self.failures < SOUND {
+            self.recovered();
+        }
+    }
+
+    /// Nothing speaks against the agent any more.
+    fn recovered(&mut self) {
+        self.failures = 0.0;
         self.bar = BAR;
         self.barred_until = time::Duration::ZERO;
     }
--- a/tests/besteffort_board.rs
+++ b/tests/besteffort_board.rs
@@ -422,3 +422,55 @@
     let admitted = board.submit(ms(at), long);
     assert!(matches!(admitted, Admitted::Job(_)), "{admitted:?}");
 }
+
+/// A job fails though a sound worker was there: its task failed at a sick worker, which alone had room
+/// a moment later, and got it again for its last attempt.
+#[test]
+fn a_failed_task_waits_for_another_worker() {
+    let mut board = open(2, 2);
+    submit(&mut board, START, ask("fills", 2, 0));
+    let filled = starts(&mut board);
+    submit(&mut board, START, ask("job", 2, 0));
+    let sent = starts(&mut board);
+    let (sick, start) = &sent[0];
+    let sound = 3 - sick;
+    board.heard(ms(START + 5), sound, &line(0, 100));
+    end(&mut board, START + 10, *sick, &start.run, How::Failed);
+    assert_eq!(starts(&mut board).len(), 0, "it waits");
+    let other = filled
+        .iter()
+        .find(|(link, _)| *link == sound)
+        .expect("both are used");
+    end(&mut board, START + 20, sound, &other.1.run, How::Done);
+    let (link, again) = starts(&mut board).remove(0);
+    assert_eq!((link, again.run.task), (sound, start.run.task));
+}
+
+/// A worker fails half of what it starts and does the other half well. Counted in a row its failures
+/// never came to two, and it went on failing twenty runs a second.
+#[test]
+fn a_worker_that_fails_every_other_task_is_barred() {
+    let mut board = open(2, 8);
+    let (mut here, mut failures) = (0, 0);
+    for n in 0..40 {
+        let at = START + 10 * n;
+        submit(&mut board, at, ask(&format!("job-{n}"), 2, 0));
+        for (link, start) in starts(&mut board) {
+            here += u64::from(link == 1);
+            let fails = link == 1 && here % 2 == 0;
+            failures += u64::from(fails);
+            end(
+                &mut board,
+                at + 5,
+                link,
+                &start.run,
+                if fails { How::Failed } else { How::Done },
+            );
+        }
+        for (link, start) in starts(&mut board) {
+            here += u64::from(link == 1);
+            end(&mut board, at + 7, link, &start.run, How::Done);
+        }
+    }
+    assert!(failures <= 4, "{failures}");
+}
