--- a/src/decide/besteffort/board.rs
+++ b/src/decide/besteffort/board.rs
@@ -16,6 +16,7 @@
 use crate::decide::besteffort::message::{Ended, FromAgent, Hello, How, JobId, Run, Start};
 use crate::decide::besteffort::view::View;
 use crate::id;
+use crate::metrics;
 
 /// When a caller may come back where no worker takes work: a worker that starts anew is known
 /// after about a heartbeat of its own.
@@ -74,6 +75,10 @@
     pub moved: u64,
     /// Runs that were lost with an agent or its backend server.
     pub lost: u64,
+    /// From a job's arrival to its answer, by outcome.
+    pub took: metrics::Seconds,
+    /// From a job's arrival to its first start, by class.
+    pub waited: metrics::Seconds,
 }
 
 /// The state of an entry.
@@ -558,6 +563,12 @@
     fn log_end(&mut self, now: time::Duration, job: &Job, outcome: &Outcome) {
         let key = (job.ask.class.clone(), outcome.name());
         *self.counts.jobs.entry(key).or_default() += 1;
+        let took = now.saturating_sub(job.arrived);
+        self.counts.took.observe("outcome", outcome.name(), took);
+        if let Some(first) = job.first_start {
+            let waited = first.saturating_sub(job.arrived);
+            self.counts.waited.observe("class", &job.ask.class, waited);
+        }
         let why = match outcome {
             Outcome::NotRun(why, _) => why.name(),
             _ => "",
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -37,6 +37,7 @@
 /// All sources as one text, with string literals that go over several lines joined.
 fn sources() -> String {
     let mut paths = files(&root().join("src"), "rs");
+    paths.extend(files(&root().join("platform"), "rs"));
     paths.sort();
     let all: Vec<String> = paths.iter().map(|path| read(path)).collect();
     all.join("\n")
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -424,6 +424,35 @@
     });
 }
 
+/// On-call engineers see nothing of a slow day: the metrics name jobs by outcome and their times.
+#[test]
+fn metrics_tell_of_jobs_and_times() {
+    block_on(async {
+        let system = System::open("metrics", 1, 1).await;
+        assert_eq!(system.submit(0, 1, &job(2, 5)).await.0, 200);
+        assert_eq!(system.submit(0, 2, &job(100_000, 5)).await.0, 400);
+        let page = |process: &Process| {
+            let uri = format!("http://{}/metrics", process.addr("metrics"));
+            let call = system
+                .client
+                .call(Call::new(Method::GET, uri, ""), PATIENCE);
+            async move { String::from_utf8_lossy(&call.await.expect("an answer").body).into_owned() }
+        };
+        let entry = page(&system.entries[0]).await;
+        for line in [
+            "lovagemill_jobs{ending=\"r-trips-/complete\"} 1",
+            "lovagemill_starts 2",
+            "lovagemill_job_seconds_count{outcome=\"complete\"} 1",
+            "lovagemill_wait_seconds_count{class=\"r-trips-\"} 1",
+        ] {
+            assert!(entry.contains(line), "{line} in:\n{entry}");
+        }
+        assert!(page(&system.agents[0])
+            .await
+            .contains("lovagemill_free_cpu 8000"));
+    });
+}
+
 /// Both programs ended by themselves when the platform said, with a HUP signal, that their settings
 /// had changed.
 #[test]
