--- /dev/null
+++ b/src/besteffort/agent/link.rs
@@ -0,0 +1,137 @@
+//! The agent's links to entries: kept up, and spoken over.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time;
+
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
+
+use crate::besteffort::agent::server::flush;
+use crate::besteffort::agent::{lock, tell_news, Inner, Link, TICK};
+use crate::besteffort::line;
+use crate::clock;
+use crate::decide::besteffort::message::{Backend, EntryName, FromAgent, FromEntry};
+
+/// Longest that a connect to an entry may take; several round trips between failure domains.
+const CONNECT: time::Duration = time::Duration::from_millis(500);
+
+/// Pause before the next connect to an entry.
+const RECONNECT: time::Duration = time::Duration::from_millis(150);
+
+pub(super) async fn keep_link(inner: Arc<Inner>, addr: SocketAddr, news: Arc<Notify>) {
+    let mut down = false;
+    while !inner.clean.load(Ordering::Relaxed) {
+        sleep(TICK).await;
+    }
+    loop {
+        let result = converse(&inner, addr, &news).await;
+        set_link(&inner, addr, |link| link.name = None);
+        if let Err(e) = result {
+            if !down {
+                log::warn!(entry_addr = addr.to_string().as_str(), error = e.to_string().as_str();
+                    "link to an entry is down");
+            }
+            down = e.kind() != io::ErrorKind::UnexpectedEof;
+        }
+        sleep(RECONNECT).await;
+    }
+}
+
+fn set_link(inner: &Inner, addr: SocketAddr, set: impl FnOnce(&mut Link)) {
+    if let Some(link) = lock(&inner.links).get_mut(&addr) {
+        set(link);
+    }
+}
+
+async fn converse(inner: &Arc<Inner>, addr: SocketAddr, news: &Notify) -> io::Result<()> {
+    let late = |_| io::Error::from(io::ErrorKind::TimedOut);
+    let stream = timeout(CONNECT, TcpStream::connect(addr))
+        .await
+        .map_err(late)??;
+    let (mut reader, mut writer) = line::open(stream)?;
+    let first: FromEntry = timeout(CONNECT, reader.read()).await.map_err(late)??;
+    let name = first.entry.ok_or(io::ErrorKind::InvalidData)?;
+    log::info!(entry = name.entry.as_str(), life = name.life; "link to an entry is up");
+    let mut hello = lock(&inner.slots).entry_up(clock::since_boot(), &name);
+    hello.agent = inner.cfg.name.clone();
+    hello.life = inner.cfg.life;
+    hello.failure_domain = inner.cfg.failure_domain.clone();
+    let mut talk = Talk {
+        inner: inner.clone(),
+        addr,
+        name: name.clone(),
+        told: Backend::default(),
+        taken: 0,
+    };
+    let mut line = talk.line();
+    line.hello = Some(hello);
+    writer.write(&line).await?;
+    set_link(inner, addr, |link| link.name = Some(name));
+    let mut heard = clock::since_boot();
+    let mut beat = interval(inner.cfg.bounds.heartbeat);
+    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            line = reader.read::<FromEntry>() => {
+                heard = clock::since_boot();
+                talk.take(line?);
+            }
+            () = news.notified() => {
+                writer.write(&talk.line()).await?;
+            }
+            _ = beat.tick() => {
+                writer.write(&talk.line()).await?;
+                if clock::since_boot() - heard > inner.cfg.bounds.silence {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+            }
+        }
+    }
+}
+
+/// One link while it is up.
+struct Talk {
+    inner: Arc<Inner>,
+    addr: SocketAddr,
+    name: EntryName,
+    told: Backend,
+    taken: u64,
+}
+
+impl Talk {
+    fn take(&mut self, line: FromEntry) {
+        let now = clock::since_boot();
+        set_link(&self.inner, self.addr, |link| link.hungry = line.hungry);
+        {
+            let mut slots = lock(&self.inner.slots);
+            let fresh = slots.heard(now, &self.name, line.seen_ms);
+            for run in &line.stops {
+                slots.withdraw(now, &self.name, run);
+            }
+            for start in line.starts {
+                self.taken += 1;
+                slots.start(now, &self.name, fresh, start);
+            }
+        }
+        flush(&self.inner);
+        tell_news(&self.inner);
+    }
+
+    fn line(&mut self) -> FromAgent {
+        let mut slots = lock(&self.inner.slots);
+        let mut line = slots.line(&self.name, clock::since_boot());
+        line.taken = self.taken;
+        let backend = slots.backend();
+        if backend != self.told {
+            self.told = backend.clone();
+            line.backend = Some(backend);
+        }
+        drop(slots);
+        set_link(&self.inner, self.addr, |link| link.free_told = line.free);
+        line
+    }
+}
--- /dev/null
+++ b/src/besteffort/agent/mod.rs
@@ -0,0 +1,252 @@
+//! An agent for best-effort work: links to the entries on one side, a backend server on the other.
+//!
+//! What may run is decided by [`Slots`]; this part carries orders out and words across. All runs on
+//! one thread: the small machines beside backend servers have a fraction of one core.
+
+mod link;
+mod server;
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time;
+
+use compact_str::CompactString;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use crate::besteffort::agent::link::keep_link;
+use crate::besteffort::agent::server::{flush, list_once, tick, watch};
+use crate::clock;
+use crate::decide::besteffort::lease::{self, Bounds};
+use crate::decide::besteffort::message::{Backend, EntryName, Run};
+use crate::decide::besteffort::slots::{Listing, Slots, StartAnswer};
+use crate::id;
+
+/// How often time bounds are looked at; small against the shortest of them (40 ms).
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// How long past that a listing's answer may take before it counts as lost.
+const LISTING_SLACK: time::Duration = time::Duration::from_millis(200);
+
+/// A boxed future, as the closures of [`BackendServer`] return it.
+pub type Answer<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Why a listing brought nothing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoListing {
+    /// No answer; nobody can tell what the backend server did.
+    Silent,
+    /// Another life of the backend server answered: what was started before has ended.
+    AnotherLife,
+}
+
+/// How the agent speaks to the backend server beside it.
+pub struct BackendServer {
+    /// Starts a run under a lease that ends at the given time of the backend server's clock.
+    #[allow(clippy::type_complexity)]
+    pub start:
+        Box<dyn Fn(CompactString, Run, CompactString, u64) -> Answer<StartAnswer> + Send + Sync>,
+    /// Stops a run, or makes sure that it never begins; true once that is certain.
+    pub stop: Box<dyn Fn(CompactString, Run) -> Answer<bool> + Send + Sync>,
+    /// Lists what it has.
+    pub list: Box<dyn Fn(ListCall) -> Answer<Result<Listing, NoListing>> + Send + Sync>,
+}
+
+/// What is asked with a listing.
+#[derive(Clone, Debug)]
+pub struct ListCall {
+    /// The life of the backend server that is meant; empty for any.
+    pub life: CompactString,
+    /// The end of the lease to renew, on the backend server's clock.
+    pub until: Option<u64>,
+    /// The last end that needn't be listed any more.
+    pub acknowledged: u64,
+    /// How long to wait for an end.
+    pub wait: time::Duration,
+}
+
+/// Who an agent is.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: id::AgentId,
+    /// Which life of it.
+    pub life: id::Incarnation,
+    /// Its failure domain.
+    pub failure_domain: CompactString,
+    /// The time bounds that it keeps.
+    pub bounds: Bounds,
+}
+
+struct Inner {
+    cfg: Config,
+    server: BackendServer,
+    slots: Mutex<Slots>,
+    links: Mutex<HashMap<SocketAddr, Link>>,
+    /// Wakes the listing loop when work begins after a quiet time.
+    work: Notify,
+    /// Whether nothing runs any more that an earlier life of the agent had started. Before that the
+    /// lease isn't renewed, and no entry is told that nothing runs here.
+    clean: AtomicBool,
+}
+
+struct Link {
+    task: JoinHandle<()>,
+    news: Arc<Notify>,
+    name: Option<EntryName>,
+    hungry: bool,
+    free_told: crate::decide::besteffort::message::Room,
+}
+
+/// A running agent.
+#[derive(Clone)]
+pub struct Agent {
+    inner: Arc<Inner>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts an agent that has no links yet. It first ends whatever an earlier life left running.
+pub fn spawn(cfg: Config, server: BackendServer) -> Agent {
+    let inner = Arc::new(Inner {
+        slots: Mutex::new(Slots::open(cfg.bounds)),
+        cfg,
+        server,
+        links: Mutex::default(),
+        work: Notify::new(),
+        clean: AtomicBool::new(false),
+    });
+    tokio::spawn(watch(inner.clone()));
+    tokio::spawn(tick(inner.clone()));
+    Agent { inner }
+}
+
+impl Agent {
+    /// The backend server has announced itself.
+    pub fn announced(&self, backend: Backend) {
+        let now = clock::since_boot();
+        let before = lock(&self.inner.slots).instance();
+        lock(&self.inner.slots).announced(now, backend);
+        if lock(&self.inner.slots).instance() != before {
+            let inner = self.inner.clone();
+            tokio::spawn(async move { list_once(&inner, time::Duration::ZERO).await });
+        }
+        flush(&self.inner);
+        tell_all(&self.inner);
+    }
+
+    /// The life of the backend server that is known; empty before any.
+    pub fn instance(&self) -> CompactString {
+        lock(&self.inner.slots).instance()
+    }
+
+    /// The backend server as it last announced itself.
+    pub fn backend(&self) -> Backend {
+        lock(&self.inner.slots).known().clone()
+    }
+
+    /// The backend server as an earlier life of the agent knew it. It is taken for the one that is
+    /// there only if that very life of it answers; its own word, which may take a heartbeat, goes
+    /// first.
+    pub async fn remembered(&self, backend: Backend) {
+        let call = (self.inner.server.list)(ListCall {
+            life: backend.instance.clone(),
+            until: None,
+            acknowledged: 0,
+            wait: time::Duration::ZERO,
+        });
+        let answer = timeout(LISTING_SLACK, call).await;
+        let there = matches!(answer, Ok(Ok(_)));
+        log::info!(instance = backend.instance.as_str(), there = there; "backend server is remembered");
+        if there && self.instance().is_empty() {
+            self.announced(backend);
+        }
+    }
+
+    /// The backend server has left, all of it.
+    pub fn left(&self, instance: &str) {
+        lock(&self.inner.slots).left(clock::since_boot(), instance);
+        flush(&self.inner);
+        tell_all(&self.inner);
+    }
+
+    /// Says where the entries are. Links to new addresses are opened; those to others are closed.
+    pub fn entries(&self, addrs: &[SocketAddr]) {
+        let mut links = lock(&self.inner.links);
+        links.retain(|addr, link| {
+            // A link that is up proves more than a list that may be stale.
+            let stays = addrs.contains(addr) || link.name.is_some();
+            if !stays {
+                log::info!(entry_addr = addr.to_string().as_str(); "entry is listed no more");
+                link.task.abort();
+            }
+            stays
+        });
+        for addr in addrs {
+            let inner = self.inner.clone();
+            let addr = *addr;
+            links.entry(addr).or_insert_with(|| {
+                let news = Arc::new(Notify::new());
+                Link {
+                    task: tokio::spawn(keep_link(inner, addr, news.clone())),
+                    news,
+                    name: None,
+                    hungry: false,
+                    free_told: Default::default(),
+                }
+            });
+        }
+    }
+
+    /// Takes no new work, lets what runs end, `longest` at most, and ends the rest.
+    pub async fn stop(&self, longest: time::Duration) {
+        lock(&self.inner.slots).stop(clock::since_boot());
+        flush(&self.inner);
+        tell_all(&self.inner);
+        let idle = async {
+            while !lock(&self.inner.slots).is_idle() {
+                sleep(TICK).await;
+            }
+        };
+        if timeout(longest, idle).await.is_err() {
+            log::warn!("stopping with runs left; they are ended");
+            lock(&self.inner.slots).stop_all(clock::since_boot());
+            flush(&self.inner);
+            sleep(2 * lease::STOP).await;
+        }
+        // The last ends leave with the next line.
+        sleep(TICK).await;
+    }
+
+    /// Runs held at the moment, and the room that is left.
+    pub fn load(&self) -> (bool, crate::decide::besteffort::message::Room) {
+        let slots = lock(&self.inner.slots);
+        (slots.is_working(), slots.free())
+    }
+}
+
+fn tell_news(inner: &Inner) {
+    let slots = lock(&inner.slots);
+    let free = slots.free();
+    for link in lock(&inner.links).values() {
+        let Some(name) = &link.name else {
+            continue;
+        };
+        if slots.has_news(name) || (link.hungry && free != link.free_told) {
+            link.news.notify_one();
+        }
+    }
+}
+
+fn tell_all(inner: &Inner) {
+    for link in lock(&inner.links).values() {
+        link.news.notify_one();
+    }
+}
--- /dev/null
+++ b/src/besteffort/agent/server.rs
@@ -0,0 +1,139 @@
+//! The agent's driver towards its backend server: listings, orders, and the look at the time bounds.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time;
+
+use compact_str::CompactString;
+use tokio::time::{sleep, timeout};
+
+use crate::besteffort::agent::{lock, tell_news, Inner, ListCall, NoListing, LISTING_SLACK, TICK};
+use crate::clock;
+use crate::decide::besteffort::message::Run;
+use crate::decide::besteffort::slots::Order;
+
+/// The same while nothing is held.
+const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
+
+/// How long a listing may wait for an end; bounds the age of the lease and of the progress.
+const LISTING_WAIT: time::Duration = time::Duration::from_millis(150);
+
+/// Pause after a listing that failed.
+const LISTING_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+pub(super) async fn tick(inner: Arc<Inner>) {
+    let mut last = clock::since_boot();
+    let bounds = inner.cfg.bounds;
+    let lapsed = last + bounds.lapse();
+    loop {
+        let idle = lock(&inner.slots).is_idle();
+        sleep(if idle { IDLE_TICK } else { TICK }).await;
+        let now = clock::since_boot();
+        if now - last > bounds.silence {
+            log::warn!(ms = (now - last).as_millis() as u64; "this process stood still");
+        }
+        last = now;
+        if now > lapsed {
+            inner.clean.store(true, Ordering::Relaxed);
+        }
+        renew_if_late(&inner, now);
+        lock(&inner.slots).tick(now);
+        flush(&inner);
+        tell_news(&inner);
+    }
+}
+
+fn renew_if_late(inner: &Arc<Inner>, now: time::Duration) {
+    if lock(&inner.slots).renewal_overdue(now) {
+        let inner = inner.clone();
+        tokio::spawn(async move {
+            let _ = list_once(&inner, time::Duration::ZERO).await;
+        });
+    }
+}
+
+/// Keeps a listing waiting at the backend server, so that ends are heard at once and the lease is
+/// renewed.
+pub(super) async fn watch(inner: Arc<Inner>) {
+    loop {
+        if !list_once(&inner, LISTING_WAIT).await {
+            sleep(LISTING_PAUSE).await;
+        }
+        if lock(&inner.slots).is_idle() {
+            let _ = timeout(LISTING_WAIT, inner.work.notified()).await;
+        }
+    }
+}
+
+pub(super) async fn list_once(inner: &Arc<Inner>, wait: time::Duration) -> bool {
+    let sent = clock::since_boot();
+    let instance = lock(&inner.slots).instance();
+    let clean = inner.clean.load(Ordering::Relaxed);
+    let until = clean.then(|| lock(&inner.slots).renew(sent)).flatten();
+    let call = (inner.server.list)(ListCall {
+        life: instance.clone(),
+        until,
+        acknowledged: lock(&inner.slots).acknowledged(),
+        wait,
+    });
+    let answer = timeout(wait + LISTING_SLACK, call).await;
+    let now = clock::since_boot();
+    // Word from or about an earlier life, which was under way when the next one announced itself,
+    // says nothing of what runs now. Taken for news, it ends runs that have just begun, and their
+    // tasks run twice.
+    if lock(&inner.slots).instance() != instance {
+        return false;
+    }
+    let listed = match answer {
+        Ok(Ok(listed)) => listed,
+        Ok(Err(NoListing::AnotherLife)) => {
+            lock(&inner.slots).another_life(now);
+            return false;
+        }
+        Ok(Err(NoListing::Silent)) | Err(_) => return false,
+    };
+    if listed.running.is_empty() {
+        inner.clean.store(true, Ordering::Relaxed);
+    }
+    lock(&inner.slots).listed(now, sent, listed);
+    flush(inner);
+    tell_news(inner);
+    true
+}
+
+/// Carries out what the slots ask for.
+pub(super) fn flush(inner: &Arc<Inner>) {
+    let orders = lock(&inner.slots).orders();
+    for order in orders {
+        let inner = inner.clone();
+        match order {
+            Order::Start(run, input, until) => {
+                tokio::spawn(start(inner, run, input, until));
+            }
+            Order::Stop(run) => {
+                tokio::spawn(stop(inner, run));
+            }
+        }
+    }
+}
+
+async fn start(inner: Arc<Inner>, run: Run, input: CompactString, until: u64) {
+    let instance = lock(&inner.slots).instance();
+    let answer = (inner.server.start)(instance, run.clone(), input, until).await;
+    lock(&inner.slots).answered(clock::since_boot(), &run, answer);
+    inner.work.notify_one();
+    flush(&inner);
+    tell_news(&inner);
+}
+
+async fn stop(inner: Arc<Inner>, run: Run) {
+    let instance = lock(&inner.slots).instance();
+    if (inner.server.stop)(instance, run.clone()).await {
+        let unsure = lock(&inner.slots).stop_answered(clock::since_boot(), &run);
+        inner.work.notify_one();
+        if unsure {
+            // The listing that is under way waits for an end, which may never come.
+            list_once(&inner, time::Duration::ZERO).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/board/agents.rs
@@ -0,0 +1,264 @@
+//! What the word, the silence and the return of an agent mean for the tasks that it has.
+
+use std::collections::BTreeSet;
+use std::time;
+
+use crate::decide::besteffort::board::{Action, Board};
+use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Placed, State};
+use crate::decide::besteffort::message::{Ended, FromAgent, Hello, How, Run};
+use crate::decide::besteffort::view::View;
+use crate::id;
+
+/// How far run numbers jump after a start that didn't begin; a second's worth.
+const RUN_STEP: u64 = 1_000;
+
+impl Board {
+    /// An agent has connected and said what it has of ours. What it doesn't name doesn't run.
+    pub fn agent_up(&mut self, now: time::Duration, link: LinkNo, hello: &Hello) {
+        let known = self.agents.get(&hello.agent);
+        if let Some(old) = known.and_then(|view| view.link) {
+            self.links.remove(&old);
+            self.actions.push(Action::Close(old));
+        }
+        let (agent, life) = (hello.agent.clone(), hello.life);
+        log::info!(agent = agent.as_str(), life = life, runs = hello.runs.len(); "agent is there");
+        let view = self.agents.entry(agent.clone());
+        let view = view.or_insert_with(|| View::open(agent.clone(), life, now));
+        if view.life != life {
+            // What an earlier life said of its backend server isn't this one's word: starts would go to
+            // an agent that knows of none, and come back one after the other.
+            *view = View::open(agent.clone(), life, now);
+        }
+        view.failure_domain = hello.failure_domain.clone();
+        view.linked(link, now);
+        self.links.insert(link, agent.clone());
+        self.ended(now, &hello.ended);
+        let here: BTreeSet<&Run> = hello.runs.iter().collect();
+        self.settle_runs(now, &agent, |run| here.contains(run));
+        for run in &hello.runs {
+            if self.placed(run, &agent).is_none() {
+                self.actions.push(Action::Stop(link, run.clone()));
+            }
+        }
+    }
+
+    /// Takes back every run of an agent that isn't there any more.
+    pub(super) fn settle_runs(
+        &mut self,
+        now: time::Duration,
+        agent: &str,
+        is_there: impl Fn(&Run) -> bool,
+    ) {
+        let mut gone = Vec::new();
+        for (no, job) in &mut self.jobs {
+            for (index, task) in job.tasks.iter_mut().enumerate() {
+                let State::Placed(placed) = &mut task.state else {
+                    continue;
+                };
+                let run = Run {
+                    job: job.ask.job.clone(),
+                    task: index as id::TaskIndex,
+                    number: placed.number,
+                };
+                if placed.agent == agent && !is_there(&run) {
+                    gone.push((*no, run));
+                }
+            }
+        }
+        let here = gone.len() as u32;
+        for (no, run) in gone {
+            self.counts.lost += 1;
+            self.requeue(now, no, run.task);
+        }
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.runs = view.runs.saturating_sub(here);
+        }
+    }
+
+    /// A line of an agent.
+    pub fn heard(&mut self, now: time::Duration, link: LinkNo, line: &FromAgent) {
+        let Some(agent) = self.links.get(&link).cloned() else {
+            return;
+        };
+        if let Some(view) = self.agents.get_mut(&agent) {
+            let before = view.backend.instance.clone();
+            let took = view.is_there();
+            view.heard(now, line);
+            if view.backend.instance != before {
+                self.learned.forget(&agent);
+            }
+            if view.is_there() != took {
+                log::info!(agent = agent.as_str(), takes_work = view.is_there(),
+                    instance = view.backend.instance.as_str(); "agent changed its mind about new work");
+            }
+        }
+        self.ended(now, &line.ended);
+        for progress in &line.progress {
+            self.progress(now, &agent, progress);
+        }
+        self.dispatch(now);
+    }
+
+    /// The link to an agent is gone. Its runs may go on until [`Bounds::abandoned`].
+    pub fn agent_down(&mut self, now: time::Duration, link: LinkNo) {
+        let Some(agent) = self.links.remove(&link) else {
+            return;
+        };
+        let Some(view) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        view.link = None;
+        log::warn!(agent = agent.as_str(), runs = view.runs,
+            heard_ms_ago = now.saturating_sub(view.heard).as_millis() as u64; "agent is cut off");
+    }
+
+    pub(super) fn ended(&mut self, now: time::Duration, ends: &[Ended]) {
+        for end in ends {
+            self.run_ended(now, end);
+        }
+    }
+
+    pub(super) fn run_ended(&mut self, now: time::Duration, end: &Ended) {
+        let Some(no) = self.by_id.get(&end.run.job).copied() else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(end.run.task as usize) else {
+            return;
+        };
+        let State::Placed(placed) = &task.state else {
+            return;
+        };
+        if placed.number != end.run.number {
+            return;
+        }
+        let placed = placed.clone();
+        let (class, estimate) = (job.ask.class.clone(), job.estimate);
+        if let Some(view) = self.agents.get_mut(&placed.agent) {
+            view.runs = view.runs.saturating_sub(1);
+        }
+        match end.how {
+            How::Done => {
+                task.state = State::Done;
+                task.last = Some(placed.agent.clone());
+                job.left -= 1;
+                let left = job.left;
+                let took = time::Duration::from_millis(end.took_ms);
+                self.learned.done(&class, &placed.agent, estimate, took);
+                if let Some(view) = self.agents.get_mut(&placed.agent) {
+                    view.done();
+                }
+                if left == 0 {
+                    self.finish(now, no, Outcome::Complete);
+                }
+            }
+            How::Failed => self.run_failed(now, no, &end.run, &placed),
+            How::Gone => {
+                self.counts.lost += u64::from(!placed.moving);
+                self.requeue(now, no, end.run.task);
+            }
+            How::NotRun | How::Rejected => {
+                // A run number that a backend server takes for an old one is too small because the
+                // clock that it came from was set back.
+                job.next_run += RUN_STEP;
+                self.counts.bounced += 1;
+                if let Some(view) = self.agents.get_mut(&placed.agent) {
+                    view.turned_away(now);
+                    if end.how == How::Rejected && view.failed(now) {
+                        log::warn!(agent = placed.agent.as_str(), why = "rejects"; "agent is barred");
+                    }
+                }
+                self.requeue(now, no, end.run.task);
+            }
+        }
+    }
+
+    pub(super) fn run_failed(
+        &mut self,
+        now: time::Duration,
+        no: JobNo,
+        run: &Run,
+        placed: &Placed,
+    ) {
+        self.counts.failed += 1;
+        let barred = self
+            .agents
+            .get_mut(&placed.agent)
+            .is_some_and(|v| v.failed(now));
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let task = &mut job.tasks[run.task as usize];
+        task.failed += 1;
+        log::warn!(job = run.job.as_str(), task = run.task, run = run.number,
+            agent = placed.agent.as_str(), failed = task.failed, attempts = job.ask.attempts,
+            barred = barred; "run failed");
+        if task.failed >= job.ask.attempts {
+            self.finish(now, no, Outcome::Failed);
+        } else {
+            self.requeue(now, no, run.task);
+        }
+    }
+
+    pub(super) fn requeue(&mut self, now: time::Duration, no: JobNo, index: id::TaskIndex) {
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let rank = job.rank(no, index);
+        let task = &mut job.tasks[index as usize];
+        if let State::Placed(placed) = &task.state {
+            task.last = Some(placed.agent.clone());
+        }
+        task.state = State::Waiting;
+        if now < job.ask.deadline {
+            self.queue.insert(rank);
+        }
+    }
+
+    pub(super) fn placed(&self, run: &Run, agent: &str) -> Option<&Placed> {
+        let job = self.jobs.get(self.by_id.get(&run.job)?)?;
+        match &job.tasks.get(run.task as usize)?.state {
+            State::Placed(placed) if placed.agent == agent && placed.number == run.number => {
+                Some(placed)
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn placed_mut(&mut self, run: &Run, agent: &str) -> Option<(JobNo, &mut Placed)> {
+        let no = *self.by_id.get(&run.job)?;
+        let job = self.jobs.get_mut(&no)?;
+        match &mut job.tasks.get_mut(run.task as usize)?.state {
+            State::Placed(placed) if placed.agent == agent && placed.number == run.number => {
+                Some((no, placed))
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn drop_silent(&mut self, now: time::Duration) {
+        let silent = self
+            .agents
+            .values()
+            .filter(|v| now.saturating_sub(v.heard) > self.bounds.silence);
+        let silent: Vec<LinkNo> = silent.filter_map(|view| view.link).collect();
+        for link in silent {
+            self.actions.push(Action::Close(link));
+            self.agent_down(now, link);
+        }
+    }
+
+    /// Takes back the runs of agents that have been away for so long that nothing runs there.
+    pub(super) fn settle_doubts(&mut self, now: time::Duration) {
+        let away = self.agents.values().filter(|view| view.link.is_none());
+        let over = away.filter(|v| now.saturating_sub(v.heard) > self.bounds.abandoned());
+        let over: Vec<id::AgentId> = over.map(|view| view.agent.clone()).collect();
+        for agent in over {
+            self.settle_runs(now, &agent, |_| false);
+            self.agents.remove(&agent);
+            self.learned.forget(&agent);
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/board/endings.rs
@@ -0,0 +1,149 @@
+//! How jobs end: answered, given up, refused after all; what is kept of them, and their log line.
+
+use std::time;
+
+use crate::decide::besteffort::board::{Action, Board, RETRY_NO_WORKER};
+use crate::decide::besteffort::job::{Job, JobNo, NotRun, Outcome, State, Task};
+use crate::decide::besteffort::message::Run;
+use crate::id;
+
+/// How long endings answer a submission that arrives once more; callers do so seconds later.
+const KEEP_ENDINGS: time::Duration = time::Duration::from_secs(15);
+
+/// Most endings that are kept; a few hundred bytes each.
+const MAX_ENDINGS: usize = 4_000;
+
+/// Share of its slack after which a job of which nothing was started is refused after all, because
+/// the wait turned out longer than expected. What would be late holds up what needn't be.
+const HOPELESS: f64 = 1.0;
+
+/// Run times over the estimate after which a job's ending names the agents that had its tasks.
+const SLACK_OF_WIDTH: f64 = 1.5;
+
+impl Board {
+    /// Gives up every job that hasn't ended, since the entry ends now.
+    pub fn give_up_all(&mut self, now: time::Duration) {
+        let all: Vec<JobNo> = self.jobs.keys().copied().collect();
+        for no in all {
+            self.finish(now, no, Outcome::GaveUp);
+        }
+    }
+
+    pub(super) fn give_up(&mut self, now: time::Duration) {
+        let late = self.jobs.iter().filter(|(_, job)| now >= job.ask.deadline);
+        let late: Vec<JobNo> = late.map(|(no, _)| *no).collect();
+        for no in late {
+            self.finish(now, no, Outcome::GaveUp);
+        }
+    }
+
+    /// Refuses jobs that have waited in vain; callers do better to come back.
+    pub(super) fn refuse_hopeless(&mut self, now: time::Duration) {
+        let hopeless = self.queue.iter().filter_map(|(.., no, task)| {
+            let job = self
+                .jobs
+                .get(no)
+                .filter(|job| job.starts == 0 && *task == 0)?;
+            let slack = job.latest.saturating_sub(job.arrived);
+            (now > job.arrived + slack.mul_f64(HOPELESS)).then_some(*no)
+        });
+        let hopeless: Vec<JobNo> = hopeless.collect();
+        for no in hopeless {
+            self.finish(now, no, Outcome::GaveUp);
+        }
+    }
+
+    /// Ends a job: stops what still runs and answers its caller.
+    pub(super) fn finish(&mut self, now: time::Duration, no: JobNo, outcome: Outcome) {
+        self.withdraw(no);
+        let Some(job) = self.forget(no) else {
+            return;
+        };
+        let outcome = match outcome {
+            Outcome::GaveUp if job.starts == 0 => {
+                Outcome::NotRun(NotRun::Overloaded, RETRY_NO_WORKER)
+            }
+            other => other,
+        };
+        self.log_end(now, &job, &outcome);
+        if matches!(outcome, Outcome::Complete | Outcome::Failed) {
+            self.endings.insert(job.ask.job.clone(), outcome.clone());
+            self.endings_by_age.push_back((now, job.ask.job));
+        }
+        self.actions.push(Action::Answer(no, outcome));
+    }
+
+    pub(super) fn forget(&mut self, no: JobNo) -> Option<Job> {
+        let job = self.jobs.remove(&no)?;
+        self.by_id.remove(&job.ask.job);
+        for task in 0..job.ask.tasks {
+            self.queue.remove(&job.rank(no, task));
+        }
+        Some(job)
+    }
+
+    /// Stops all that runs of a job.
+    pub(super) fn withdraw(&mut self, no: JobNo) {
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        for (index, task) in job.tasks.iter().enumerate() {
+            let State::Placed(placed) = &task.state else {
+                continue;
+            };
+            let run = Run {
+                job: job.ask.job.clone(),
+                task: index as id::TaskIndex,
+                number: placed.number,
+            };
+            let Some(view) = self.agents.get_mut(&placed.agent) else {
+                continue;
+            };
+            view.runs = view.runs.saturating_sub(1);
+            if let Some(link) = view.link {
+                self.actions.push(Action::Stop(link, run));
+            }
+        }
+    }
+
+    pub(super) fn forget_endings(&mut self, now: time::Duration) {
+        let old = |at: time::Duration| now.saturating_sub(at) > KEEP_ENDINGS;
+        while let Some((at, _)) = self.endings_by_age.front() {
+            if !old(*at) && self.endings_by_age.len() <= MAX_ENDINGS {
+                break;
+            }
+            if let Some((_, job)) = self.endings_by_age.pop_front() {
+                self.endings.remove(&job);
+            }
+        }
+    }
+
+    pub(super) fn log_end(&mut self, now: time::Duration, job: &Job, outcome: &Outcome) {
+        let key = (job.ask.class.clone(), outcome.name());
+        *self.counts.jobs.entry(key).or_default() += 1;
+        let took = now.saturating_sub(job.arrived);
+        self.counts.took.observe("outcome", outcome.name(), took);
+        if let Some(first) = job.first_start {
+            let waited = first.saturating_sub(job.arrived);
+            self.counts.waited.observe("class", &job.ask.class, waited);
+        }
+        let why = match outcome {
+            Outcome::NotRun(why, _) => why.name(),
+            _ => "",
+        };
+        let failed: u32 = job.tasks.iter().map(|task: &Task| task.failed).sum();
+        let ms = |d: time::Duration| d.as_millis() as u64;
+        let waited = job.first_start.unwrap_or(now).saturating_sub(job.arrived);
+        let places =
+            if now > job.latest + job.estimate.mul_f64(SLACK_OF_WIDTH) || failed + job.moved > 0 {
+                job.places()
+            } else {
+                compact_str::CompactString::default()
+            };
+        log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(), places = places.as_str(),
+            outcome = outcome.name(), why = why, tasks = job.ask.tasks, starts = job.starts,
+            failed = failed, moved = job.moved, estimate_ms = ms(job.estimate),
+            waited_ms = ms(waited), took_ms = ms(now.saturating_sub(job.arrived)),
+            queued = self.queue.len(), agents = self.agents.len(); "job answered");
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/board/mod.rs
@@ -0,0 +1,224 @@
+//! The best-effort jobs of one entry: who goes next, what an agent's word or silence means, and
+//! when a job is answered.
+//!
+//! Events and `now` (time since boot, suspensions included) go in, [`Action`]s come out. Each part of
+//! its work has a file: what agents tell, where tasks go, moving them off sick workers, endings.
+
+mod agents;
+mod endings;
+mod place;
+mod rescue;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time;
+
+use crate::decide::besteffort::flow::Flow;
+use crate::decide::besteffort::job::{Job, JobNo, LinkNo, NotRun, Outcome, Rank, Submission};
+use crate::decide::besteffort::learn::Learned;
+use crate::decide::besteffort::lease::Bounds;
+use crate::decide::besteffort::message::{JobId, Run, Start};
+use crate::decide::besteffort::view::View;
+use crate::id;
+use crate::metrics;
+
+/// When a caller may come back where no worker takes work: a worker that starts anew is known
+/// after about a heartbeat of its own.
+const RETRY_NO_WORKER: time::Duration = time::Duration::from_millis(1_000);
+
+/// How long nothing is started after the process stood still: in that time the sockets tell which
+/// callers have left meanwhile. Their jobs may already run elsewhere.
+const SETTLE: time::Duration = time::Duration::from_millis(30);
+
+/// Share of a job's slack that may be expected to pass in the queue. Under lasting overload the wait
+/// settles at this bound; run times scatter by 0.4, and a task that starts at the very end of its
+/// slack is late every other time.
+const ADMITTED: f64 = 0.8;
+
+/// What the entry's driver should do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a start to an agent.
+    Start(LinkNo, Start),
+    /// Send a stop to an agent.
+    Stop(LinkNo, Run),
+    /// Answer a caller.
+    Answer(JobNo, Outcome),
+    /// Close the link to an agent that isn't heard.
+    Close(LinkNo),
+}
+
+/// Counts since the start, for the metrics page.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// Jobs by class and outcome.
+    pub jobs: BTreeMap<(compact_str::CompactString, &'static str), u64>,
+    /// Starts sent.
+    pub starts: u64,
+    /// Runs that came back without having begun.
+    pub bounced: u64,
+    /// Runs that failed.
+    pub failed: u64,
+    /// Runs that were moved off a slow or standing worker.
+    pub moved: u64,
+    /// Runs that were lost with an agent or its backend server.
+    pub lost: u64,
+    /// From a job's arrival to its answer, by outcome.
+    pub took: metrics::Seconds,
+    /// From a job's arrival to its first start, by class.
+    pub waited: metrics::Seconds,
+}
+
+/// The state of an entry.
+#[derive(Debug, Default)]
+pub struct Board {
+    bounds: Bounds,
+    agents: BTreeMap<id::AgentId, View>,
+    jobs: HashMap<JobNo, Job>,
+    queue: BTreeSet<Rank>,
+    flow: Flow,
+    learned: Learned,
+    actions: Vec<Action>,
+    /// What entries did since the start.
+    pub counts: Counts,
+    domain: compact_str::CompactString,
+    links: HashMap<LinkNo, id::AgentId>,
+    by_id: HashMap<JobId, JobNo>,
+    endings: HashMap<JobId, Outcome>,
+    endings_by_age: VecDeque<(time::Duration, JobId)>,
+    next: JobNo,
+    settled_at: time::Duration,
+    /// After which no job is taken, and by when all must have ended; none unless it stops.
+    stopping: Option<(time::Duration, time::Duration)>,
+}
+
+/// What becomes of a submission.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Admitted {
+    /// It is a job; its answer comes as an [`Action::Answer`].
+    Job(JobNo),
+    /// It is answered at once.
+    Answered(Outcome),
+}
+
+impl Board {
+    /// Opens a board for an entry in a failure domain.
+    pub fn open(domain: &str, bounds: Bounds) -> Board {
+        Board {
+            bounds,
+            domain: domain.into(),
+            ..Board::default()
+        }
+    }
+
+    /// Takes a submission in, or refuses it at once if it can't be served.
+    pub fn submit(&mut self, now: time::Duration, ask: Submission) -> Admitted {
+        if let Some(no) = self.by_id.get(&ask.job) {
+            return Admitted::Job(*no);
+        }
+        if let Some(outcome) = self.endings.get(&ask.job) {
+            return Admitted::Answered(outcome.clone());
+        }
+        let estimate = self.learned.estimate(&ask.class, ask.declared);
+        let job = Job::open(ask, now, estimate);
+        if let Some((why, back)) = self.refusal(now, &job) {
+            self.log_end(now, &job, &Outcome::NotRun(why, back));
+            return Admitted::Answered(Outcome::NotRun(why, back));
+        }
+        self.next += 1;
+        let no = self.next;
+        self.by_id.insert(job.ask.job.clone(), no);
+        for task in 0..job.ask.tasks {
+            self.queue.insert(job.rank(no, task));
+        }
+        self.flow.came(now, job.ask.priority, job.room());
+        self.jobs.insert(no, job);
+        self.dispatch(now);
+        Admitted::Job(no)
+    }
+
+    fn refusal(&self, now: time::Duration, job: &Job) -> Option<(NotRun, time::Duration)> {
+        let mut there = self.agents.values().filter(|v| v.is_there());
+        if !there.any(|v| v.backend.service == job.ask.service) {
+            return Some((NotRun::NoWorker, RETRY_NO_WORKER));
+        }
+        let mut there = self.agents.values().filter(|v| v.is_there());
+        if !there.any(|v| self.suits(job, v) && v.backend.size.fits(&job.ask.need)) {
+            return Some((NotRun::NoFit, RETRY_NO_WORKER));
+        }
+        let forecast = self.forecast(now, job);
+        let wait = forecast.wait;
+        let end = now + wait + job.estimate;
+        if let Some((last, by)) = self.stopping {
+            if now > last || end + job.estimate > by {
+                return Some((NotRun::Stopping, RETRY_NO_WORKER));
+            }
+        }
+        let slack = job.latest.saturating_sub(now);
+        if end > job.ask.deadline || wait > slack.mul_f64(ADMITTED) {
+            log::info!(job = job.ask.job.as_str(), wait_ms = wait.as_millis() as u64,
+                slack_ms = slack.as_millis() as u64, ahead = forecast.ahead as u64,
+                rate = forecast.rate as u64, room = forecast.room; "job would be late");
+            return Some((NotRun::Overloaded, wait));
+        }
+        None
+    }
+
+    /// No new job after `last`, nor one that may not have ended `by` then: it takes twice its
+    /// estimate at times.
+    pub fn stop_by(&mut self, last: time::Duration, by: time::Duration) {
+        self.stopping = Some((last, by));
+    }
+
+    /// The caller has left; nothing of its job runs on.
+    pub fn caller_left(&mut self, now: time::Duration, no: JobNo) {
+        if let Some(job) = self.jobs.get(&no) {
+            log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(),
+                starts = job.starts, left = job.left; "caller left");
+            self.withdraw(no);
+            self.forget(no);
+            self.dispatch(now);
+        }
+    }
+
+    /// The number of a job that hasn't ended, by its id.
+    pub fn find(&self, job: &str) -> Option<JobNo> {
+        self.by_id.get(job).copied()
+    }
+
+    /// Jobs of a class of which nothing was started.
+    pub fn pending(&self, class: &str) -> usize {
+        let waiting = self.jobs.values().filter(|job| job.starts == 0);
+        waiting.filter(|job| job.ask.class == class).count()
+    }
+
+    /// Jobs that haven't ended.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// The process stood still for a while; see [`SETTLE`].
+    pub fn stood_still(&mut self, now: time::Duration) {
+        self.settled_at = now + SETTLE;
+    }
+
+    /// Looks at every time bound. To be called more often than any of them matters.
+    pub fn tick(&mut self, now: time::Duration) {
+        self.drop_silent(now);
+        self.settle_doubts(now);
+        self.give_up(now);
+        self.refuse_hopeless(now);
+        self.learned.compare();
+        self.forget_endings(now);
+        self.dispatch(now);
+    }
+
+    /// Whether work waits for room.
+    pub fn is_hungry(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// What is to be done since the last call.
+    pub fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+}
--- a/src/decide/besteffort/mod.rs
+++ b/src/decide/besteffort/mod.rs
@@ -12,7 +12,5 @@
 pub mod learn;
 pub mod lease;
 pub mod message;
-pub mod place;
-pub mod rescue;
 pub mod slots;
 pub mod view;
--- /dev/null
+++ b/src/decide/besteffort/slots/entries.rs
@@ -0,0 +1,105 @@
+//! The agent's side towards the entries: what they want, and what they are told.
+
+use std::time;
+
+use compact_str::CompactString;
+
+use crate::decide::besteffort::message::{EntryName, FromAgent, Hello, How, Progress, Run, Start};
+use crate::decide::besteffort::slots::{millis, Held, Slots, State};
+
+impl Slots {
+    /// An entry has connected; returns what it should know first.
+    pub fn entry_up(&mut self, now: time::Duration, name: &EntryName) -> Hello {
+        let entry = self.entries.entry(name.clone()).or_default();
+        entry.ended.clear();
+        entry.heard = now;
+        entry.alive_until = now + self.bounds.silence;
+        let ended = entry.kept.iter().cloned().collect();
+        let runs = self.held.iter().filter(|(_, held)| held.entry == *name);
+        Hello {
+            runs: runs.map(|(run, _)| run.clone()).collect(),
+            ended,
+            agent: CompactString::default(),
+            life: 0,
+            failure_domain: CompactString::default(),
+        }
+    }
+
+    /// An entry has repeated our clock. Whether the word is fresh enough to act on.
+    pub fn heard(&mut self, now: time::Duration, name: &EntryName, seen_ms: u64) -> bool {
+        let until = millis(seen_ms) + self.bounds.silence;
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.alive_until = entry.alive_until.max(until);
+            entry.heard = now;
+        }
+        now < until
+    }
+
+    /// An entry wants a run.
+    pub fn start(&mut self, now: time::Duration, name: &EntryName, fresh: bool, start: Start) {
+        if self.held.contains_key(&start.run) {
+            return;
+        }
+        let run = start.run.clone();
+        let held = Held {
+            entry: name.clone(),
+            state: State::Waiting,
+            since: now,
+            unwanted: None,
+            stop_at: time::Duration::ZERO,
+            percent: 0,
+            percent_at: now,
+            start,
+        };
+        self.waiting.insert(held.rank());
+        self.held.insert(run.clone(), held);
+        if !fresh {
+            log::warn!(job = run.job.as_str(), task = run.task, run = run.number, entry = name.entry.as_str();
+                "start came too late to act on");
+            self.end(now, &run, How::NotRun);
+        }
+        self.pump(now);
+    }
+
+    /// An entry doesn't want a run any more.
+    pub fn withdraw(&mut self, now: time::Duration, name: &EntryName, run: &Run) {
+        if self.held.get(run).is_some_and(|held| held.entry == *name) {
+            self.unwant(now, run);
+            self.pump(now);
+        }
+    }
+
+    /// What an entry should hear now: ends, and the progress of its runs.
+    pub fn line(&mut self, name: &EntryName, now: time::Duration) -> FromAgent {
+        let mut line = FromAgent {
+            now_ms: now.as_millis() as u64,
+            free: self.free(),
+            sharers: self.sharers(now),
+            ..FromAgent::default()
+        };
+        if let Some(entry) = self.entries.get_mut(name) {
+            line.ended = std::mem::take(&mut entry.ended);
+        }
+        let runs = self.held.iter().filter(|(_, held)| held.entry == *name);
+        let running = runs.filter(|(_, held)| held.state == State::Running);
+        line.progress = running
+            .map(|(run, held)| Progress {
+                run: run.clone(),
+                percent: held.percent,
+                age_ms: held.percent_at.saturating_sub(held.since).as_millis() as u64,
+            })
+            .collect();
+        line
+    }
+
+    fn sharers(&self, now: time::Duration) -> u32 {
+        let alive = self.entries.values().filter(|e| now < e.alive_until);
+        alive.count() as u32
+    }
+
+    /// Whether an entry has something to hear before the next heartbeat.
+    pub fn has_news(&self, name: &EntryName) -> bool {
+        let entry = self.entries.get(name);
+        entry.is_some_and(|e| !e.ended.is_empty())
+    }
+}
--- /dev/null
+++ b/src/decide/besteffort/slots/server.rs
@@ -0,0 +1,202 @@
+//! The agent's side towards its backend server: its lives, the lease, answers and listings.
+
+use std::collections::HashSet;
+use std::time;
+
+use crate::decide::besteffort::lease::{self, Lease};
+use crate::decide::besteffort::message::{Backend, How, Run};
+use crate::decide::besteffort::slots::{
+    millis, Held, Listing, Order, Slots, StartAnswer, State, STOP_AGAIN,
+};
+
+/// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
+/// listing that should have brought it is late.
+const RENEW_AGAIN: f64 = 0.4;
+
+impl Slots {
+    /// Takes in what the backend server says of itself. The first word of another life ends all
+    /// that ran in the one before; a late word of an earlier life is passed over.
+    pub fn announced(&mut self, now: time::Duration, backend: Backend) {
+        if self.past.contains(&backend.instance) {
+            return;
+        }
+        if backend.instance != self.backend.instance {
+            if !self.backend.instance.is_empty() {
+                self.past.insert(self.backend.instance.clone());
+            }
+            log::info!(instance = backend.instance.as_str(), before = self.backend.instance.as_str(),
+                held = self.held.len(); "backend server has a new life");
+            self.lost(now, "another life of the backend server");
+            // What is known of the clock and the lease is of the life before.
+            self.lease = Lease::open(self.bounds);
+            self.acknowledged = 0;
+            self.reached = false;
+        }
+        if backend.takes_work != self.backend.takes_work {
+            log::info!(instance = backend.instance.as_str(), takes_work = backend.takes_work;
+                "backend server changed its mind about new work");
+        }
+        self.backend = backend;
+        self.pump(now);
+    }
+
+    /// The backend server says that it leaves now. What it has may run on for a moment, so that its
+    /// ends are still waited for.
+    pub fn left(&mut self, now: time::Duration, instance: &str) {
+        if self.backend.instance == instance {
+            self.backend.takes_work = false;
+            self.pump(now);
+        }
+    }
+
+    /// Everything that was with the backend server has ended: its lease ran out or it is another.
+    pub(super) fn lost(&mut self, now: time::Duration, why: &str) {
+        let gone = self.held.iter().filter(|(_, h)| h.state != State::Waiting);
+        let gone: Vec<Run> = gone.map(|(run, _)| run.clone()).collect();
+        if !gone.is_empty() {
+            log::warn!(runs = gone.len(), why = why; "runs lost with the backend server");
+        }
+        for run in gone {
+            self.end(now, &run, How::Gone);
+        }
+    }
+
+    /// The end of the lease to ask for with a listing, on the backend server's clock.
+    /// None while a run that has to end goes on, because its stop isn't answered or nobody was awake
+    /// to send one: the lease is one for all, and running it out is the one way left to end that run
+    /// before its task may start elsewhere.
+    pub fn renew(&mut self, now: time::Duration) -> Option<u64> {
+        let open = |held: &Held| !matches!(held.state, State::Waiting | State::Closing);
+        let overdue = |held: &Held| now > self.must_end(held) + lease::SLACK;
+        if self.held.values().any(|held| open(held) && overdue(held)) {
+            return None;
+        }
+        self.lease.renew(now)
+    }
+
+    /// When a run has to end: withdrawn, past its deadline, or its entry not heard.
+    fn must_end(&self, held: &Held) -> time::Duration {
+        let entry = self.entries.get(&held.entry);
+        let heard = entry.map_or(time::Duration::ZERO, |entry| entry.alive_until);
+        let deadline = millis(held.start.deadline_ms);
+        held.unwanted.unwrap_or(deadline).min(deadline).min(heard)
+    }
+
+    /// The last end that needn't be listed any more.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// Whether a renewal is overdue while something runs, so that one more is worth a call.
+    pub fn renewal_overdue(&self, now: time::Duration) -> bool {
+        self.is_working()
+            && self
+                .lease
+                .overdue(now, self.bounds.lease.mul_f64(RENEW_AGAIN))
+    }
+
+    /// Takes in whether the backend server answers; nothing is started while it doesn't.
+    pub(super) fn reach(&mut self, now: time::Duration, reached: bool) {
+        if self.reached == reached {
+            return;
+        }
+        self.reached = reached;
+        log::info!(instance = self.backend.instance.as_str(), reached = reached;
+            "backend server's reach changed");
+        self.pump(now);
+    }
+
+    /// A start was answered, or its time ran out.
+    pub fn answered(&mut self, now: time::Duration, run: &Run, answer: StartAnswer) {
+        let Some(held) = self.held.get_mut(run) else {
+            return;
+        };
+        if held.state != State::Starting {
+            return;
+        }
+        match answer {
+            StartAnswer::Accepted => {
+                held.state = State::Running;
+                held.since = now;
+                if held.unwanted.is_some() {
+                    self.send_stop(now, run);
+                }
+            }
+            StartAnswer::Refused => self.end(now, run, How::NotRun),
+            StartAnswer::Unwell => self.end(now, run, How::Rejected),
+            StartAnswer::Unknown => {
+                held.state = State::Unsure;
+                held.unwanted.get_or_insert(now);
+                log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
+                    "start had no answer");
+                self.send_stop(now, run);
+            }
+        }
+        self.pump(now);
+    }
+
+    /// A stop was answered: the run ends within the stop's grace, or never begins. Returns whether
+    /// only a new listing can tell which, because nobody knows whether it began; an end that happens
+    /// is listed by itself.
+    pub fn stop_answered(&mut self, now: time::Duration, run: &Run) -> bool {
+        let Some(held) = self.held.get_mut(run) else {
+            return false;
+        };
+        let unsure = held.state == State::Unsure;
+        held.state = State::Closing;
+        held.stop_at = now;
+        unsure
+    }
+
+    /// Another life of the backend server has answered; nothing of the one that is known runs.
+    pub fn another_life(&mut self, now: time::Duration) {
+        self.lost(now, "another life has answered");
+    }
+
+    /// Takes in a listing that was asked for at `sent`, of the life that is known.
+    pub fn listed(&mut self, now: time::Duration, sent: time::Duration, listing: Listing) {
+        self.lease.heard(sent, now, listing.clock_ms);
+        self.reach(now, true);
+        self.acknowledged = self.acknowledged.max(listing.last_end);
+        for (run, how) in &listing.ended {
+            self.end(now, run, *how);
+        }
+        let mut alien = Vec::new();
+        for (run, percent) in &listing.running {
+            match self.held.get_mut(run) {
+                Some(held) => {
+                    held.percent = *percent;
+                    held.percent_at = now;
+                }
+                None => alien.push(run.clone()),
+            }
+        }
+        for run in alien {
+            let again = self
+                .alien_stops
+                .get(&run)
+                .is_some_and(|at| now < *at + STOP_AGAIN);
+            if again {
+                continue;
+            }
+            self.alien_stops.retain(|_, at| now < *at + STOP_AGAIN);
+            self.alien_stops.insert(run.clone(), now);
+            log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
+                "stopping a run that nobody here asked for");
+            self.orders.push(Order::Stop(run));
+        }
+        let running: HashSet<&Run> = listing.running.iter().map(|(run, _)| run).collect();
+        let missing = |held: &Held| match held.state {
+            State::Running => sent > held.since,
+            State::Closing => sent > held.stop_at,
+            State::Waiting | State::Starting | State::Unsure => false,
+        };
+        let gone = self.held.iter();
+        let gone = gone.filter(|(run, held)| missing(held) && !running.contains(run));
+        let gone: Vec<Run> = gone.map(|(run, _)| run.clone()).collect();
+        for run in gone {
+            self.end(now, &run, How::Gone);
+        }
+        self.pump(now);
+    }
+}
