Take out the direct mode that nobody sends; one set-up for tests of a linked agent

Cause: Order::Direct, Welcome::direct, the flag of a start and the ledger's note of it were written for a mode that was never built; no process sent or read them. Three tests built the same linked agent. Change: removed from the messages, the ledger and the model's moves, which never got such an order.

--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -131,7 +131,6 @@
             incarnation: self.incarnation,
             failure_domain: self.cfg.failure_domain.clone(),
             rack: self.cfg.rack.clone(),
-            direct: inner.ledger.direct(),
             tasks: inner.ledger.report(),
         };
         let _ = tx.send(Notice::Welcome(welcome));
@@ -171,7 +170,6 @@
                 self.changed.notify_waiters();
             }
             Order::Resolve(ids) => inner.resolve(now, epoch, &ids),
-            Order::Direct => inner.ledger.announce_direct(epoch),
             Order::Heartbeat => {}
         }
     }
--- a/src/bench/decisions.rs
+++ b/src/bench/decisions.rs
@@ -226,7 +226,6 @@
         incarnation: 1,
         failure_domain: format_compact!("domain-{}", number % 5),
         rack: format_compact!("rack-{}", number / 3),
-        direct: None,
         tasks: Vec::new(),
     };
     let id = format_compact!("agent-{number:04}");
--- a/src/bench/messages.rs
+++ b/src/bench/messages.rs
@@ -148,7 +148,6 @@
         deadline_ms: 8_000,
         needs: task::Needs::default(),
         input: RawValue::from_string(input.to_owned()).expect("the text is JSON"),
-        direct: true,
         traceparent: None,
     })
 }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -78,7 +78,6 @@
 pub struct Ledger {
     epoch: id::Epoch,
     joined: bool,
-    direct: Option<id::Epoch>,
     jobs: HashMap<id::JobKey, Job>,
     kept: VecDeque<task::Id>,
     kept_bytes: usize,
@@ -113,18 +112,6 @@
         self.epoch
     }
 
-    /// The last epoch whose owner announced starts ahead of their claims.
-    pub fn direct(&self) -> Option<id::Epoch> {
-        self.direct
-    }
-
-    /// Notes that the owner of `epoch` will start ahead of its claims.
-    pub fn announce_direct(&mut self, epoch: id::Epoch) {
-        if epoch == self.epoch {
-            self.direct = Some(epoch);
-        }
-    }
-
     /// Tells whether the agent has joined its cell.
     pub fn is_joined(&self) -> bool {
         self.joined
--- a/src/decide/notice.rs
+++ b/src/decide/notice.rs
@@ -36,8 +36,6 @@
     pub failure_domain: CompactString,
     /// Its rack.
     pub rack: CompactString,
-    /// Whether an owner ever started ahead of its claims in this agent's life, and in which epoch.
-    pub direct: Option<id::Epoch>,
     /// All tasks of the cell that it remembers.
     pub tasks: Vec<(task::Id, ledger::Standing)>,
 }
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -19,8 +19,6 @@
     Acknowledge(id::JobKey),
     /// Tell how these tasks stand; what was never seen is refused for good.
     Resolve(Vec<Attempt>),
-    /// Starts may come ahead of their claims until the next epoch.
-    Direct,
     /// Nothing else was said for a while.
     Heartbeat,
 }
@@ -63,9 +61,6 @@
     pub needs: task::Needs,
     /// Its input.
     pub input: Box<RawValue>,
-    /// True where the claim isn't in the table yet.
-    #[serde(default)]
-    pub direct: bool,
     /// The trace that it belongs to, if any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub traceparent: Option<CompactString>,
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -112,7 +112,6 @@
             deadline_ms: left.as_millis().max(1) as u64,
             needs: waiting.needs,
             input: declared.input.clone(),
-            direct: job.claim != job::Claim::Written,
             traceparent: job.submission.traceparent.clone(),
         };
         self.actions
--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -9,6 +9,8 @@
 use lovagemill::decide::besteffort::message::{FromAgent, FromEntry, How};
 use lovagemill::decide::besteffort::slots::StartAnswer;
 
+use tokio::net::TcpListener;
+
 use support::besteffort::{backend, listed, listen, run, Calls, FakeEntry, Running};
 
 /// Bounds that only the fake's own silence exceeds, on however busy a machine.
@@ -30,6 +32,34 @@
     agent::spawn(cfg, calls.server())
 }
 
+/// An agent with a backend server, and the entry that it has connected to.
+struct Linked {
+    calls: Calls,
+    agent: Agent,
+    entry: FakeEntry,
+    listener: TcpListener,
+}
+
+async fn linked() -> Linked {
+    let calls = Calls::default();
+    let agent = open(&calls);
+    let (listener, addr) = listen().await;
+    agent.entries(&[addr]);
+    let nothing = || Ok(listed(Vec::new(), Vec::new()));
+    let _ = calls.list("").await.send(nothing());
+    let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
+    agent.announced(backend("life"));
+    let _ = calls.list("life").await.send(nothing());
+    let ready = |line: &FromAgent| line.backend.clone().filter(|b| b.takes_work);
+    entry.until(ready).await;
+    Linked {
+        calls,
+        agent,
+        entry,
+        listener,
+    }
+}
+
 /// A caller's approval runs twice. A backend server crashes and starts anew; the new life announces
 /// itself while the agent's listing of the old one is still under way. A run begins in the new life,
 /// and only then the old listing is answered: "another life". The agent took that for news, gave the
@@ -117,23 +147,12 @@
 #[test]
 fn runs_of_a_silent_entry_are_stopped() {
     support::block_on(async {
-        let calls = Calls::default();
-        let agent = open(&calls);
-        let (listener, addr) = listen().await;
-        agent.entries(&[addr]);
-        let _ = calls
-            .list("")
-            .await
-            .send(Ok(listed(Vec::new(), Vec::new())));
-        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
-        agent.announced(backend("life"));
-        let _ = calls
-            .list("life")
-            .await
-            .send(Ok(listed(Vec::new(), Vec::new())));
-        entry
-            .until(|line| line.backend.clone().filter(|b| b.takes_work))
-            .await;
+        let Linked {
+            calls,
+            mut entry,
+            listener: _listener,
+            agent: _agent,
+        } = linked().await;
         entry.start(run("job", 0, 1)).await;
         let (begun, answer) = calls.start().await;
         answer.send(StartAnswer::Accepted).expect("the agent waits");
@@ -151,23 +170,12 @@
 #[test]
 fn a_start_that_was_held_back_doesn_t_run() {
     support::block_on(async {
-        let calls = Calls::default();
-        let agent = open(&calls);
-        let (listener, addr) = listen().await;
-        agent.entries(&[addr]);
-        let _ = calls
-            .list("")
-            .await
-            .send(Ok(listed(Vec::new(), Vec::new())));
-        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
-        agent.announced(backend("life"));
-        let _ = calls
-            .list("life")
-            .await
-            .send(Ok(listed(Vec::new(), Vec::new())));
-        entry
-            .until(|line| line.backend.clone().filter(|b| b.takes_work))
-            .await;
+        let Linked {
+            calls: _calls,
+            mut entry,
+            listener: _listener,
+            agent: _agent,
+        } = linked().await;
         entry.seen_ms = entry.seen_ms.saturating_sub(5_000);
         entry.start(run("late", 0, 1)).await;
         let end = entry.until(|line| line.ended.first().cloned()).await;
@@ -180,23 +188,12 @@
 #[test]
 fn ends_that_a_broken_link_lost_are_repeated() {
     support::block_on(async {
-        let calls = Calls::default();
-        let agent = open(&calls);
-        let (listener, addr) = listen().await;
-        agent.entries(&[addr]);
-        let _ = calls
-            .list("")
-            .await
-            .send(Ok(listed(Vec::new(), Vec::new())));
-        let (mut entry, _) = FakeEntry::accept(&listener, 1).await;
-        agent.announced(backend("life"));
-        let _ = calls
-            .list("life")
-            .await
-            .send(Ok(listed(Vec::new(), Vec::new())));
-        entry
-            .until(|line| line.backend.clone().filter(|b| b.takes_work))
-            .await;
+        let Linked {
+            calls,
+            mut entry,
+            listener,
+            agent: _agent,
+        } = linked().await;
         let line = FromEntry {
             starts: vec![
                 support::besteffort::start(run("job", 0, 1), entry.seen_ms),
--- a/tests/contract_silence.rs
+++ b/tests/contract_silence.rs
@@ -93,7 +93,6 @@
                     incarnation: 3,
                     failure_domain: "northam".into(),
                     rack: "rack-0".into(),
-                    direct: None,
                     tasks: Vec::new(),
                 }));
                 tokio::spawn(beat(tx.clone(), || Notice::Heartbeat));
--- a/tests/decide_support/mod.rs
+++ b/tests/decide_support/mod.rs
@@ -123,7 +123,6 @@
             incarnation: 1,
             failure_domain: "domain".into(),
             rack: "rack".into(),
-            direct: None,
             tasks: Vec::new(),
         };
         let load = notice::Load {
--- a/tests/fault_resumed_job.rs
+++ b/tests/fault_resumed_job.rs
@@ -58,7 +58,6 @@
         incarnation,
         failure_domain: "poa-centro".into(),
         rack: "rack-0".into(),
-        direct: None,
         tasks,
     }
 }
--- a/tests/model/moves.rs
+++ b/tests/model/moves.rs
@@ -597,7 +597,6 @@
         incarnation: agent.life,
         failure_domain: "".into(),
         rack: "".into(),
-        direct: agent.ledger.get().direct(),
         tasks: agent.ledger.get().report(),
     };
     tell(w, a, &notice::Notice::Welcome(welcome));
@@ -645,9 +644,6 @@
                 .change(|ledger| ledger.acknowledge(epoch, &job));
         }
         order::Order::Resolve(asked) => resolve(w, a, epoch, &asked),
-        order::Order::Direct => {
-            agent.ledger.change(|ledger| ledger.announce_direct(epoch));
-        }
         order::Order::Heartbeat => {}
     }
     true
