--- a/src/decide/besteffort/board/endings.rs
+++ b/src/decide/besteffort/board/endings.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use compact_str::CompactString;
+
 use crate::decide::besteffort::board::{Action, Board, RETRY_NO_WORKER};
 use crate::decide::besteffort::job::{Job, JobNo, NotRun, Outcome, State, Task};
 use crate::decide::besteffort::message::Run;
@@ -138,7 +140,7 @@
             if now > job.latest + job.estimate.mul_f64(SLACK_OF_WIDTH) || failed + job.moved > 0 {
                 job.places()
             } else {
-                compact_str::CompactString::default()
+                CompactString::default()
             };
         log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(), places = places.as_str(),
             outcome = outcome.name(), why = why, tasks = job.ask.tasks, starts = job.starts,
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -12,6 +12,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time;
 
+use compact_str::CompactString;
+
 use crate::decide::besteffort::flow::Flow;
 use crate::decide::besteffort::job::{Job, JobNo, LinkNo, NotRun, Outcome, Rank, Submission};
 use crate::decide::besteffort::learn::Learned;
@@ -51,7 +53,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
     /// Jobs by class and outcome.
-    pub jobs: BTreeMap<(compact_str::CompactString, &'static str), u64>,
+    pub jobs: BTreeMap<(CompactString, &'static str), u64>,
     /// Starts sent.
     pub starts: u64,
     /// Runs that came back without having begun.
@@ -74,18 +76,26 @@
     bounds: Bounds,
     agents: BTreeMap<id::AgentId, View>,
     jobs: HashMap<JobNo, Job>,
+    /// Tasks that wait for room, the next one first.
     queue: BTreeSet<Rank>,
     flow: Flow,
     learned: Learned,
+    /// What the driver hasn't fetched yet.
     actions: Vec<Action>,
-    /// What entries did since the start.
+    /// What the entry did since the start.
     pub counts: Counts,
-    domain: compact_str::CompactString,
+    /// The failure domain of the entry.
+    domain: CompactString,
+    /// Whose link is whose.
     links: HashMap<LinkNo, id::AgentId>,
+    /// The jobs that haven't ended, by the id that their callers chose.
     by_id: HashMap<JobId, JobNo>,
+    /// Latest endings, and in which order they came.
     endings: HashMap<JobId, Outcome>,
     endings_by_age: VecDeque<(time::Duration, JobId)>,
+    /// The number of the latest job.
     next: JobNo,
+    /// Until when nothing is started; see [`SETTLE`].
     settled_at: time::Duration,
     /// After which no job is taken, and by when all must have ended; none unless it stops.
     stopping: Option<(time::Duration, time::Duration)>,
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -1,11 +1,15 @@
 //! Where a task goes, and how long it has to wait.
 //!
-//! Answers the usual load and bursts: work waits at the entry by urgency of its class and
-//! then by the latest start that still meets its target, and goes to an agent only when that has room, so that a worker that turns
-//! slow holds no queue. Of the agents with room the one with the earliest expected end is taken.
+//! Answers the usual load and bursts: work waits at the entry by urgency of its class and then by the
+//! latest start that still meets its target, and goes to an agent only when that has room, so that a
+//! worker that turns slow holds no queue. Of the agents with room the one with the earliest expected
+//! end is taken.
 
+use std::ops;
 use std::time;
 
+use compact_str::CompactString;
+
 use crate::decide::besteffort::board::{Action, Board};
 use crate::decide::besteffort::job::{Job, JobNo, Placed, State};
 use crate::decide::besteffort::message::{Run, Start};
@@ -61,7 +65,7 @@
     /// Whether a worker may run a job, room apart.
     pub(super) fn suits(&self, job: &Job, view: &View) -> bool {
         let ask = &job.ask;
-        let labelled = |label: &compact_str::CompactString| view.backend.labels.contains(label);
+        let labelled = |label: &CompactString| view.backend.labels.contains(label);
         view.backend.service == ask.service && ask.requires.as_ref().is_none_or(labelled)
     }
 
@@ -114,7 +118,7 @@
                 None => self.queue.first().copied(),
                 Some(key) => self
                     .queue
-                    .range((std::ops::Bound::Excluded(key), std::ops::Bound::Unbounded))
+                    .range((ops::Bound::Excluded(key), ops::Bound::Unbounded))
                     .next()
                     .copied(),
             };
@@ -154,8 +158,6 @@
         job.tasks[index as usize].state = State::Placed(Placed {
             agent,
             number,
-            sent: now,
-            begun: None,
             percent: 0,
             changed: now,
             moving: false,
--- a/src/decide/besteffort/board/rescue.rs
+++ b/src/decide/besteffort/board/rescue.rs
@@ -39,9 +39,6 @@
         let Some((no, placed)) = self.placed_mut(&progress.run, agent) else {
             return;
         };
-        if placed.begun.is_none() {
-            placed.begun = Some(now.saturating_sub(time::Duration::from_millis(progress.age_ms)));
-        }
         if progress.percent != placed.percent {
             placed.percent = progress.percent;
             placed.changed = now;
@@ -105,7 +102,7 @@
         if elsewhere * GAIN < here && end < job.ask.deadline {
             log::info!(job = run.job.as_str(), task = run.task, run = run.number,
                 agent = placed.agent.as_str(), percent = placed.percent, age_ms = age.as_millis() as u64,
-                slowness = slowness, standing = standing, elsewhere_ms = (elsewhere * 1e3) as u64;
+                slowness = (slowness * 100.0).round() / 100.0, standing = standing, elsewhere_ms = (elsewhere * 1e3) as u64;
                 "moving a run");
             self.move_away(no, run, placed);
         }
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::decide::besteffort::message::{JobId, Room, RunNumber};
+use crate::id;
 
 /// Numbers the jobs of one life of an entry.
 pub type JobNo = u64;
@@ -16,7 +17,7 @@
 const MAX_PLACES: usize = 32;
 
 /// The order in which tasks wait: urgency of the class, then the latest start that meets the target.
-pub type Rank = (u32, time::Duration, JobNo, crate::id::TaskIndex);
+pub type Rank = (u32, time::Duration, JobNo, id::TaskIndex);
 
 /// What a caller asked for, with what the configuration says of its class.
 #[derive(Clone, Debug)]
@@ -120,13 +121,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placed {
     /// The agent.
-    pub agent: crate::id::AgentId,
+    pub agent: id::AgentId,
     /// The run.
     pub number: RunNumber,
-    /// When it was sent.
-    pub sent: time::Duration,
-    /// When it was seen at work first.
-    pub begun: Option<time::Duration>,
     /// Hundredths done, as last heard.
     pub percent: u8,
     /// When that changed last.
@@ -143,7 +140,7 @@
     /// Runs that failed.
     pub failed: u32,
     /// The agent that had it last; the next run prefers another.
-    pub last: Option<crate::id::AgentId>,
+    pub last: Option<id::AgentId>,
 }
 
 /// One job.
@@ -173,7 +170,7 @@
 
 impl Job {
     /// Where a task of the job stands in the queue.
-    pub fn rank(&self, no: JobNo, task: crate::id::TaskIndex) -> Rank {
+    pub fn rank(&self, no: JobNo, task: id::TaskIndex) -> Rank {
         (self.ask.priority, self.latest, no, task)
     }
 
