--- /dev/null
+++ b/tests/contract_users_platform.rs
@@ -0,0 +1,216 @@
+//! The platform's store and workers as clients see them: what each answer, and each way of giving
+//! none, is taken for.
+
+mod support;
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use lovagemill::besteffort::agent::{BackendServer, ListCall, NoListing};
+use lovagemill::decide::besteffort::message::{How, Run};
+use lovagemill::decide::besteffort::slots::StartAnswer;
+use lovagemill::platform::routes;
+use lovagemill::platform::store::{self, Error, Store};
+use lovagemill::platform::worker;
+
+use support::script::{Script, Scripted, Server};
+
+const LIFE: &str = "i-1";
+
+fn script(server: Server, status: u16, body: &str) -> Script {
+    Script {
+        server,
+        status,
+        body: body.into(),
+        repeat: 1,
+        length: None,
+        twice: false,
+    }
+}
+
+fn run() -> Run {
+    Run {
+        job: "00000000000000aa".into(),
+        task: 3,
+        number: 7,
+    }
+}
+
+async fn worker_at(script: Script) -> (Scripted, BackendServer) {
+    let server = Scripted::bind(script).await;
+    let addr = server.addr().parse().expect("an address");
+    (server, worker::open(addr))
+}
+
+async fn store_at(script: Script) -> (Scripted, Store) {
+    let server = Scripted::bind(script).await;
+    let addr = server.addr().parse().expect("an address");
+    (server, store::open(addr))
+}
+
+/// A start that may have been carried out counts as refused, its task starts elsewhere, and both run.
+/// Only what proves that nothing ran is a refusal.
+#[test]
+fn answers_to_a_start() {
+    support::block_on(async {
+        let late = r#"{"clock_ms":5,"reason":"late"}"#;
+        let fence = r#"{"clock_ms":5,"reason":"fence"}"#;
+        let cases = [
+            (
+                script(Server::Answer, 200, r#"{"clock_ms":5}"#),
+                StartAnswer::Accepted,
+            ),
+            (script(Server::Answer, 409, late), StartAnswer::Refused),
+            (script(Server::Answer, 409, fence), StartAnswer::Refused),
+            (script(Server::Answer, 409, "no json"), StartAnswer::Refused),
+            (script(Server::Answer, 400, ""), StartAnswer::Refused),
+            (script(Server::Answer, 421, ""), StartAnswer::Refused),
+            (script(Server::Answer, 429, ""), StartAnswer::Unwell),
+            (script(Server::Answer, 503, ""), StartAnswer::Unwell),
+            (script(Server::Answer, 500, ""), StartAnswer::Unknown),
+            (script(Server::Refuse, 0, ""), StartAnswer::Refused),
+            (script(Server::CloseBefore, 0, ""), StartAnswer::Unknown),
+            (script(Server::CloseAfter, 0, ""), StartAnswer::Unknown),
+            (script(Server::Hang, 0, ""), StartAnswer::Unknown),
+        ];
+        for (script, expected) in cases {
+            let shown = format!("{script:?}");
+            let (_server, worker) = worker_at(script).await;
+            let answer = (worker.start)(LIFE.into(), run(), CompactString::from("input"), 99).await;
+            assert_eq!(answer, expected, "{shown}");
+        }
+    });
+}
+
+/// A stop is certain only if it was answered with success.
+#[test]
+fn answers_to_a_stop() {
+    support::block_on(async {
+        let cases = [
+            (script(Server::Answer, 200, r#"{"clock_ms":5}"#), true),
+            (script(Server::Answer, 409, r#"{"reason":"fence"}"#), false),
+            (script(Server::Answer, 503, ""), false),
+            (script(Server::Refuse, 0, ""), false),
+            (script(Server::CloseAfter, 0, ""), false),
+            (script(Server::Hang, 0, ""), false),
+        ];
+        for (script, expected) in cases {
+            let shown = format!("{script:?}");
+            let (_server, worker) = worker_at(script).await;
+            assert_eq!((worker.stop)(LIFE.into(), run()).await, expected, "{shown}");
+        }
+    });
+}
+
+/// A listing that can't be read whole would hide runs and ends; it counts as none.
+#[test]
+fn answers_to_a_listing() {
+    support::block_on(async {
+        let good = r#"{"clock_ms":5,"running":[["00000000000000aa.0.0.3",7,"",41,900]],
+            "finished":[[4,"00000000000000aa.0.0.1",6,"done",""],[5,"00000000000000aa.0.0.2",6,"lapsed",""]]}"#;
+        let ask = || ListCall {
+            life: LIFE.into(),
+            until: Some(99),
+            acknowledged: 0,
+            wait: Duration::ZERO,
+        };
+        let (_server, worker) = worker_at(script(Server::Answer, 200, good)).await;
+        let listing = (worker.list)(ask()).await.expect("a listing");
+        assert_eq!(listing.running, [(run(), 41)]);
+        let hows: Vec<How> = listing.ended.iter().map(|(_, how)| *how).collect();
+        assert_eq!((hows, listing.last_end), (vec![How::Done, How::Gone], 5));
+        let cases = [
+            (script(Server::Answer, 200, "{}"), NoListing::Silent),
+            (
+                script(
+                    Server::Answer,
+                    200,
+                    r#"{"clock_ms":5,"running":[],"finished":[["x"]]}"#,
+                ),
+                NoListing::Silent,
+            ),
+            (
+                script(Server::Answer, 409, r#"{"reason":"fence"}"#),
+                NoListing::Silent,
+            ),
+            (script(Server::Answer, 421, ""), NoListing::AnotherLife),
+            (script(Server::Refuse, 0, ""), NoListing::Silent),
+            (script(Server::CloseAfter, 0, ""), NoListing::Silent),
+        ];
+        for (script, expected) in cases {
+            let shown = format!("{script:?}");
+            let (_server, worker) = worker_at(script).await;
+            let found = (worker.list)(ask()).await.err();
+            assert_eq!(found, Some(expected), "{shown}");
+        }
+    });
+}
+
+/// Rows are read whole or not at all, and a history that is gone is told from a store that is away.
+#[test]
+fn answers_of_the_store() {
+    support::block_on(async {
+        let good = r#"{"rows":[{"table":"op","part":"","key":"config","value":"e30=","ver":4},
+            {"table":"op","part":"","key":"old","ver":5,"tombstone":true}],"ver":9,"now_ms":77}"#;
+        let (_server, store) = store_at(script(Server::Answer, 200, good)).await;
+        let rows = store.rows("op", Some("config")).await.expect("rows");
+        assert_eq!((rows.version, rows.now_ms), (9, 77));
+        assert_eq!(rows.rows[0].value.as_deref(), Some(&b"{}"[..]));
+        assert_eq!(rows.rows[1].value, None);
+        let away = |e: &Error| matches!(e, Error::Away(_));
+        let gone = |e: &Error| *e == Error::HistoryGone;
+        let garbled = |e: &Error| *e == Error::Garbled;
+        let bad =
+            r#"{"rows":[{"table":"op","part":"","key":"config","value":"%%%","ver":4}],"ver":9}"#;
+        let cases: [(Script, fn(&Error) -> bool); 7] = [
+            (script(Server::Answer, 503, ""), away),
+            (script(Server::Answer, 429, ""), away),
+            (script(Server::Answer, 410, ""), gone),
+            (script(Server::Answer, 200, "no json"), garbled),
+            (script(Server::Answer, 200, bad), garbled),
+            (script(Server::Refuse, 0, ""), away),
+            (script(Server::CloseAfter, 0, ""), away),
+        ];
+        for (script, expected) in cases {
+            let shown = format!("{script:?}");
+            let (_server, store) = store_at(script).await;
+            let error = store
+                .watch("op", 3, Duration::ZERO)
+                .await
+                .expect_err("no rows");
+            assert!(expected(&error), "{shown}: {error}");
+        }
+    });
+}
+
+/// Requests take the longest prefix of their host, whatever its case or port; a configuration that
+/// can't be read changes nothing.
+#[test]
+fn classes_by_host_and_path() {
+    let config = br#"{"version":7,"routes":[
+        {"name":"short","host":"School.example","path_prefix":"/a/","service":"s","attempts":0,"stretch":0.5},
+        {"name":"long","host":"school.example","path_prefix":"/a/b/","service":"s","slo_ms":60,"stretch":1.6}]}"#;
+    let routes = routes::decode(config).expect("a configuration");
+    let found = |host: &str, path: &str| {
+        let found = routes.find(host, path);
+        found.map(|(class, rest)| (class.name.to_string(), rest.to_owned()))
+    };
+    assert_eq!(
+        found("school.example", "/a/x"),
+        Some(("short".into(), "x".into()))
+    );
+    assert_eq!(
+        found("SCHOOL.example:80", "/a/b/x"),
+        Some(("long".into(), "x".into()))
+    );
+    assert_eq!(found("other.example", "/a/x"), None);
+    assert_eq!(found("school.example", "/b/"), None);
+    let (class, _) = routes.find("school.example", "/a/x").expect("found");
+    assert_eq!(
+        (class.attempts, class.stretch),
+        (1, 1.0),
+        "never below what makes sense"
+    );
+    assert!(routes::decode(br#"{"routes":[]}"#).is_err());
+    assert!(routes::decode(b"").is_err());
+}
