Tests of the two programs without a bound on time

Cause, seen on reading: one test compared how long a run lasted, and the agent's tests allowed a stall of 4 s; a busy machine could change their verdict. Change: the run's ending is looked at (stopped or lapsed, never done), and the bounds are 20 s.

--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -13,21 +13,22 @@
 
 use support::besteffort::{backend, listed, listen, run, Calls, FakeEntry, Running};
 
-/// Bounds that only the fake's own silence exceeds, on however busy a machine.
-fn patient() -> Bounds {
-    Bounds {
-        silence: time::Duration::from_secs(4),
-        lease: time::Duration::from_secs(8),
-        ..Bounds::default()
-    }
-}
+/// Bounds that no test exceeds, on however busy a machine.
+const PATIENT: time::Duration = time::Duration::from_secs(20);
+
+/// The silence of the one test in which an entry falls silent.
+const SILENT: time::Duration = time::Duration::from_secs(4);
 
-fn open(calls: &Calls) -> Agent {
+fn open(calls: &Calls, silence: time::Duration) -> Agent {
     let cfg = agent::Config {
         name: "agent".into(),
         life: 1,
         failure_domain: "domain".into(),
-        bounds: patient(),
+        bounds: Bounds {
+            silence,
+            lease: 2 * PATIENT,
+            ..Bounds::default()
+        },
     };
     agent::spawn(cfg, calls.server())
 }
@@ -40,9 +41,9 @@
     listener: TcpListener,
 }
 
-async fn linked() -> Linked {
+async fn linked(silence: time::Duration) -> Linked {
     let calls = Calls::default();
-    let agent = open(&calls);
+    let agent = open(&calls, silence);
     let (listener, addr) = listen().await;
     agent.entries(&[addr]);
     let nothing = || Ok(listed(Vec::new(), Vec::new()));
@@ -68,7 +69,7 @@
 fn a_late_word_of_the_old_life_ends_nothing_in_the_new_one() {
     support::block_on(async {
         let calls = Calls::default();
-        let agent = open(&calls);
+        let agent = open(&calls, PATIENT);
         let (listener, addr) = listen().await;
         agent.entries(&[addr]);
         calls
@@ -117,7 +118,7 @@
 fn a_new_agent_ends_what_an_earlier_one_left_before_it_speaks() {
     support::block_on(async {
         let calls = Calls::default();
-        let agent = open(&calls);
+        let agent = open(&calls, PATIENT);
         let (listener, addr) = listen().await;
         agent.entries(&[addr]);
         let left = run("job", 0, 1);
@@ -150,7 +151,7 @@
             mut entry,
             listener: _listener,
             agent: _agent,
-        } = linked().await;
+        } = linked(SILENT).await;
         entry.start(run("job", 0, 1)).await;
         let (begun, answer) = calls.start().await;
         answer.send(StartAnswer::Accepted).expect("the agent waits");
@@ -173,8 +174,8 @@
             mut entry,
             listener: _listener,
             agent: _agent,
-        } = linked().await;
-        entry.seen_ms = entry.seen_ms.saturating_sub(5_000);
+        } = linked(PATIENT).await;
+        entry.seen_ms = entry.seen_ms.saturating_sub(2 * PATIENT.as_millis() as u64);
         entry.start(run("late", 0, 1)).await;
         let end = entry.until(|line| line.ended.first().cloned()).await;
         assert_eq!((end.run.job.as_str(), end.how), ("late", How::NotRun));
@@ -191,7 +192,7 @@
             mut entry,
             listener,
             agent: _agent,
-        } = linked().await;
+        } = linked(PATIENT).await;
         let line = FromEntry {
             starts: vec![
                 support::besteffort::start(run("job", 0, 1), entry.seen_ms),
@@ -227,7 +228,7 @@
 fn an_end_that_wasn_t_taken_in_isn_t_acknowledged() {
     support::block_on(async {
         let calls = Calls::default();
-        let agent = open(&calls);
+        let agent = open(&calls, PATIENT);
         let early = calls.list("").await;
         agent.announced(backend("life"));
         let _ = early.send(Ok(listed(Vec::new(), vec![(run("job", 0, 1), How::Done)])));
@@ -258,7 +259,7 @@
             (Err(NoListing::Silent), ""),
         ] {
             let calls = Calls::default();
-            let agent = open(&calls);
+            let agent = open(&calls, PATIENT);
             let asked = async {
                 calls.answer_list("life", answer).await;
             };
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -549,7 +549,9 @@
 fn nothing_outlives_a_killed_entry() {
     block_on(async {
         let mut system = System::open("killed", 2, 1).await;
-        let asked = job(2, 5_000);
+        // Longer than the test may take, though nobody said so.
+        let mut asked = job(2, 100_000);
+        asked["steps"][0]["est_runtime_ms"] = json!(1_000);
         let killed = async {
             while system.workers[0].log().len() < 2 {
                 tokio::time::sleep(Duration::from_millis(5)).await;
@@ -567,14 +569,10 @@
         {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        let long = system.workers[0]
-            .log()
-            .iter()
-            .map(|ran| ran.ended.expect("seen") - ran.began)
-            .max();
+        let hows: Vec<&str> = system.workers[0].log().iter().map(|ran| ran.how).collect();
         assert!(
-            long.expect("two runs") < Duration::from_millis(5_000),
-            "they ran to their end"
+            hows.iter().all(|how| ["stopped", "lapsed"].contains(how)),
+            "{hows:?}"
         );
         assert!(!system.entries[0].ended());
         assert_eq!(system.submit(1, 1, &job(2, 20)).await.0, 200);
--- a/tests/users_platform/stand.rs
+++ b/tests/users_platform/stand.rs
@@ -191,6 +191,7 @@
     pub task: String,
     pub began: Instant,
     pub ended: Option<Instant>,
+    pub how: &'static str,
 }
 
 #[derive(Default)]
@@ -335,6 +336,7 @@
             task: key.0.clone(),
             began: Instant::now(),
             ended: None,
+            how: "",
         });
         work.running
             .insert(key, (Instant::now(), Duration::from_millis(long)));
@@ -379,6 +381,7 @@
         let mut log = self.log.iter_mut().rev();
         if let Some(ran) = log.find(|ran| ran.task == key.0 && ran.ended.is_none()) {
             ran.ended = Some(Instant::now());
+            ran.how = how;
         }
     }
 }
