Orders to a backend server carry the life that they are meant for

Cause: the agent's driver read the backend server's life when the spawned task of a start or stop ran, not when the order was given. If another life announced itself in between, a run that was given up as lost with the old life began in the new one, beside its successor elsewhere. Change: Order::Start and Order::Stop name the life, taken where the slots decide; the driver makes the call as it takes the order. A listing takes the slots' lock once instead of three times. Test: besteffort_agent an_order_goes_to_the_life_that_it_was_given_for failed before (start reached "next"), passes now.

--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time;
 
-use compact_str::CompactString;
 use tokio::time::{sleep, timeout};
 
-use crate::besteffort::agent::{lock, tell_news, Inner, ListCall, NoListing, LISTING_SLACK, TICK};
+use crate::besteffort::agent::{
+    lock, tell_news, Answer, Inner, ListCall, NoListing, LISTING_SLACK, TICK,
+};
 use crate::clock;
 use crate::decide::besteffort::message::Run;
-use crate::decide::besteffort::slots::Order;
+use crate::decide::besteffort::slots::{Order, StartAnswer};
 
 /// The same while nothing is held.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
@@ -73,21 +74,23 @@
 
 pub(super) async fn list_once(inner: &Arc<Inner>, wait: time::Duration) -> bool {
     let sent = clock::since_boot();
-    let instance = lock(&inner.slots).instance();
-    let clean = inner.clean.load(Ordering::Relaxed);
-    let until = clean.then(|| lock(&inner.slots).renew(sent)).flatten();
-    let call = (inner.server.list)(ListCall {
-        life: instance.clone(),
-        until,
-        acknowledged: lock(&inner.slots).acknowledged(),
-        wait,
-    });
-    let answer = timeout(wait + LISTING_SLACK, call).await;
+    let call = {
+        let mut slots = lock(&inner.slots);
+        let clean = inner.clean.load(Ordering::Relaxed);
+        ListCall {
+            life: slots.instance(),
+            until: clean.then(|| slots.renew(sent)).flatten(),
+            acknowledged: slots.acknowledged(),
+            wait,
+        }
+    };
+    let life = call.life.clone();
+    let answer = timeout(wait + LISTING_SLACK, (inner.server.list)(call)).await;
     let now = clock::since_boot();
     // Word from or about an earlier life, which was under way when the next one announced itself,
     // says nothing of what runs now. Taken for news, it ends runs that have just begun, and their
     // tasks run twice.
-    if lock(&inner.slots).instance() != instance {
+    if lock(&inner.slots).instance() != life {
         return false;
     }
     let listed = match answer {
@@ -113,28 +116,33 @@
     for order in orders {
         let inner = inner.clone();
         match order {
-            Order::Start(run, input, until) => {
-                tokio::spawn(start(inner, run, input, until));
+            Order::Start {
+                life,
+                run,
+                input,
+                until,
+            } => {
+                let answer = (inner.server.start)(life, run.clone(), input, until);
+                tokio::spawn(start(inner, run, answer));
             }
-            Order::Stop(run) => {
-                tokio::spawn(stop(inner, run));
+            Order::Stop { life, run } => {
+                let answer = (inner.server.stop)(life, run.clone());
+                tokio::spawn(stop(inner, run, answer));
             }
         }
     }
 }
 
-async fn start(inner: Arc<Inner>, run: Run, input: CompactString, until: u64) {
-    let instance = lock(&inner.slots).instance();
-    let answer = (inner.server.start)(instance, run.clone(), input, until).await;
+async fn start(inner: Arc<Inner>, run: Run, answer: Answer<StartAnswer>) {
+    let answer = answer.await;
     lock(&inner.slots).answered(clock::since_boot(), &run, answer);
     inner.work.notify_one();
     flush(&inner);
     tell_news(&inner);
 }
 
-async fn stop(inner: Arc<Inner>, run: Run) {
-    let instance = lock(&inner.slots).instance();
-    if (inner.server.stop)(instance, run.clone()).await {
+async fn stop(inner: Arc<Inner>, run: Run, answer: Answer<bool>) {
+    if answer.await {
         let unsure = lock(&inner.slots).stop_answered(clock::since_boot(), &run);
         inner.work.notify_one();
         if unsure {
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -31,13 +31,29 @@
 /// How long an entry that is gone is remembered.
 const FORGET_ENTRY: time::Duration = time::Duration::from_secs(10);
 
-/// What the agent asks of its backend server.
+/// What the agent asks of one life of its backend server. An order that leaves late must not reach
+/// another life: its run was given up with the one that it was meant for, and its task may already
+/// run elsewhere.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Order {
-    /// Begin a run, under a lease that ends then on the backend server's clock.
-    Start(Run, CompactString, u64),
+    /// Begin a run.
+    Start {
+        /// The life that is meant.
+        life: CompactString,
+        /// The run.
+        run: Run,
+        /// What it works on.
+        input: CompactString,
+        /// The end of its lease, on the backend server's clock in milliseconds.
+        until: u64,
+    },
     /// End a run, or make sure that it never begins.
-    Stop(Run),
+    Stop {
+        /// The life that is meant.
+        life: CompactString,
+        /// The run.
+        run: Run,
+    },
 }
 
 /// What came of a start.
@@ -283,10 +299,15 @@
     fn send_stop(&mut self, now: time::Duration, run: &Run) {
         if let Some(held) = self.held.get_mut(run) {
             held.stop_at = now;
-            self.orders.push(Order::Stop(run.clone()));
+            self.order_stop(run.clone());
         }
     }
 
+    fn order_stop(&mut self, run: Run) {
+        let life = self.instance();
+        self.orders.push(Order::Stop { life, run });
+    }
+
     fn end(&mut self, now: time::Duration, run: &Run, how: How) {
         let Some(held) = self.held.remove(run) else {
             return;
@@ -355,7 +376,12 @@
         held.since = now;
         self.used = self.used.plus(&held.start.need);
         self.waiting.remove(&held.rank());
-        let input = held.start.input.clone();
-        self.orders.push(Order::Start(run.clone(), input, until));
+        let order = Order::Start {
+            life: self.backend.instance.clone(),
+            run: run.clone(),
+            input: held.start.input.clone(),
+            until,
+        };
+        self.orders.push(order);
     }
 }
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -6,7 +6,7 @@
 use crate::decide::besteffort::lease::{self, Lease};
 use crate::decide::besteffort::message::{Backend, How, Run};
 use crate::decide::besteffort::slots::{
-    millis, Held, Listing, Order, Slots, StartAnswer, State, STOP_AGAIN,
+    millis, Held, Listing, Slots, StartAnswer, State, STOP_AGAIN,
 };
 
 /// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
@@ -183,7 +183,7 @@
             self.alien_stops.insert(run.clone(), now);
             log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
                 "stopping a run that nobody here asked for");
-            self.orders.push(Order::Stop(run));
+            self.order_stop(run);
         }
         let running: HashSet<&Run> = listing.running.iter().map(|(run, _)| run).collect();
         let missing = |held: &Held| match held.state {
--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -111,6 +111,40 @@
     });
 }
 
+/// A caller's approval runs twice. A start is ordered, and before the order has left, the backend
+/// server has crashed and another life of it announces itself. The run is given up and its task goes
+/// elsewhere; the order then left for whichever life was known by that time, which began the run.
+#[test]
+fn an_order_goes_to_the_life_that_it_was_given_for() {
+    support::block_on_one_thread(async {
+        let Linked {
+            calls,
+            agent,
+            mut entry,
+            listener: _listener,
+        } = linked(PATIENT).await;
+        for number in 1..=4 {
+            entry.start(run("job", number as u32, number)).await;
+            let (_, answer) = calls.start().await;
+            answer.send(StartAnswer::Accepted).expect("the agent waits");
+        }
+        entry.start(run("waits", 0, 5)).await;
+        entry.until(|line| (line.taken == 5).then_some(())).await;
+        let mut roomier = backend("life");
+        roomier.size.cpu += 1_000;
+        // Nothing that the agent has spawned runs between these two.
+        agent.announced(roomier);
+        agent.announced(backend("next"));
+        let (life, ordered) = calls
+            .next("a start", |call| match call {
+                support::besteffort::Call::Start(life, run, _) => Ok((life, run)),
+                other => Err(other),
+            })
+            .await;
+        assert_eq!((life.as_str(), ordered), ("life", run("waits", 0, 5)));
+    });
+}
+
 /// Two runs of one task. An agent is killed and started again at once, while the backend server
 /// still works under the lease of its first life. If the new agent told the entry that nothing runs
 /// here, the entry would start the task elsewhere.
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -405,7 +405,7 @@
                 late
             };
             if !answered {
-                if let Order::Start(run, ..) = &order {
+                if let Order::Start { run, .. } = &order {
                     let unknown = Event::Started(a, life, run.clone(), StartAnswer::Unknown);
                     self.at(self.now + 150, unknown);
                 }
@@ -427,13 +427,13 @@
         let work = self.work();
         let agent = &mut self.agents[a];
         match order {
-            Order::Start(run, _, until) => {
+            Order::Start { run, until, .. } => {
                 let answer = agent.server.start(self.now, life, &run, until, work);
                 if answered {
                     self.at(self.now + delay, Event::Started(a, life, run, answer));
                 }
             }
-            Order::Stop(run) => {
+            Order::Stop { run, .. } => {
                 let certain = agent.server.stop(self.now, life, &run);
                 if answered && certain {
                     self.at(self.now + delay, Event::Stopped(a, life, run));
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -61,6 +61,11 @@
     }
 }
 
+fn stop(run: Run) -> Order {
+    let life = "life".into();
+    Order::Stop { life, run }
+}
+
 fn listing(at: u64, running: &[Run]) -> Listing {
     Listing {
         clock_ms: at,
@@ -83,7 +88,7 @@
 fn begin(slots: &mut Slots, at: u64, run: Run) {
     slots.heard(ms(at), &entry(1), at);
     slots.start(ms(at), &entry(1), true, start(run.clone(), at));
-    assert!(matches!(&slots.orders()[..], [Order::Start(begun, ..)] if *begun == run));
+    assert!(matches!(&slots.orders()[..], [Order::Start { run: begun, .. }] if *begun == run));
     slots.answered(ms(at), &run, StartAnswer::Accepted);
 }
 
@@ -117,7 +122,7 @@
     begin(&mut slots, START, run(0, 1));
     let silent = START + Bounds::default().silence.as_millis() as u64;
     slots.tick(ms(silent));
-    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    assert_eq!(slots.orders(), [stop(run(0, 1))]);
     slots.listed(ms(silent), ms(silent), listing(silent, &[run(0, 1)]));
     assert!(slots.renew(ms(silent)).is_some(), "the stop may still work");
     let overdue = silent + lease::SLACK.as_millis() as u64 + 1;
@@ -150,12 +155,12 @@
     let mut slots = open();
     begin(&mut slots, START, run(0, 1));
     slots.withdraw(ms(START + 10), &entry(1), &run(0, 1));
-    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    assert_eq!(slots.orders(), [stop(run(0, 1))]);
     slots.tick(ms(START + 20));
     assert_eq!(slots.orders(), []);
     slots.heard(ms(START + 70), &entry(1), START + 70);
     slots.tick(ms(START + 70));
-    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    assert_eq!(slots.orders(), [stop(run(0, 1))]);
 }
 
 /// A task is said not to run, and runs: its start had no answer and is carried out seconds later.
@@ -167,7 +172,7 @@
     slots.start(ms(START), &entry(1), true, start(run(0, 1), START));
     slots.orders();
     slots.answered(ms(START + 150), &run(0, 1), StartAnswer::Unknown);
-    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    assert_eq!(slots.orders(), [stop(run(0, 1))]);
     slots.listed(ms(START + 160), ms(START + 155), listing(START + 160, &[]));
     assert_eq!(ends(&mut slots, START + 160), [], "not closed yet");
     slots.stop_answered(ms(START + 170), &run(0, 1));
@@ -197,7 +202,9 @@
     let mut ended = listing(START + 8, &[run(1, 2)]);
     ended.ended.push((run(0, 1), How::Gone));
     slots.listed(ms(START + 8), ms(START + 7), ended);
-    assert!(matches!(&slots.orders()[..], [Order::Start(begun, ..)] if *begun == run(2, 3)));
+    assert!(
+        matches!(&slots.orders()[..], [Order::Start { run: begun, .. }] if *begun == run(2, 3))
+    );
 }
 
 /// New work reaches a backend server after it said that it leaves: nothing is started from that
@@ -245,7 +252,7 @@
     slots.tick(ms(deadline - 1));
     assert_eq!(slots.orders(), []);
     slots.tick(ms(deadline));
-    assert_eq!(slots.orders(), [Order::Stop(run(0, 1))]);
+    assert_eq!(slots.orders(), [stop(run(0, 1))]);
 }
 
 /// The bounds must leave a resubmission nothing to meet: silence, then the lease of an agent that
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -23,6 +23,16 @@
     runtime.block_on(async { tokio::time::timeout(HANG, future).await.expect("no hang") })
 }
 
+/// Runs a test as the small programs run: on one thread, so that nothing which is spawned begins
+/// before the test waits for something.
+pub fn block_on_one_thread<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    runtime.block_on(async { tokio::time::timeout(HANG, future).await.expect("no hang") })
+}
+
 /// Waits until something holds.
 pub async fn until(what: &str, holds: impl Fn() -> bool) {
     let deadline = tokio::time::Instant::now() + HANG;
