--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -43,27 +43,12 @@
     }
 
     /// Takes back every run of an agent that isn't there any more.
-    pub(super) fn settle_runs(
-        &mut self,
-        now: time::Duration,
-        agent: &str,
-        is_there: impl Fn(&Run) -> bool,
-    ) {
+    fn settle_runs(&mut self, now: time::Duration, agent: &str, is_there: impl Fn(&Run) -> bool) {
         let mut gone = Vec::new();
-        for (no, job) in &mut self.jobs {
-            for (index, task) in job.tasks.iter_mut().enumerate() {
-                let State::Placed(placed) = &mut task.state else {
-                    continue;
-                };
-                let run = Run {
-                    job: job.ask.job.clone(),
-                    task: index as id::TaskIndex,
-                    number: placed.number,
-                };
-                if placed.agent == agent && !is_there(&run) {
-                    gone.push((*no, run));
-                }
-            }
+        for (no, job) in &self.jobs {
+            let runs = job.runs().filter(|(_, placed)| placed.agent == agent);
+            let lost = runs.filter(|(run, _)| !is_there(run));
+            gone.extend(lost.map(|(run, _)| (*no, run)));
         }
         let here = gone.len() as u32;
         for (no, run) in gone {
@@ -112,13 +97,13 @@
             heard_ms_ago = now.saturating_sub(view.heard).as_millis() as u64; "agent is cut off");
     }
 
-    pub(super) fn ended(&mut self, now: time::Duration, ends: &[Ended]) {
+    fn ended(&mut self, now: time::Duration, ends: &[Ended]) {
         for end in ends {
             self.run_ended(now, end);
         }
     }
 
-    pub(super) fn run_ended(&mut self, now: time::Duration, end: &Ended) {
+    fn run_ended(&mut self, now: time::Duration, end: &Ended) {
         let Some(no) = self.by_id.get(&end.run.job).copied() else {
             return;
         };
@@ -175,13 +160,7 @@
         }
     }
 
-    pub(super) fn run_failed(
-        &mut self,
-        now: time::Duration,
-        no: JobNo,
-        run: &Run,
-        placed: &Placed,
-    ) {
+    fn run_failed(&mut self, now: time::Duration, no: JobNo, run: &Run, placed: &Placed) {
         self.counts.failed += 1;
         let barred = self
             .agents
@@ -202,7 +181,7 @@
         }
     }
 
-    pub(super) fn requeue(&mut self, now: time::Duration, no: JobNo, index: id::TaskIndex) {
+    fn requeue(&mut self, now: time::Duration, no: JobNo, index: id::TaskIndex) {
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
@@ -217,17 +196,8 @@
         }
     }
 
-    pub(super) fn placed(&self, run: &Run, agent: &str) -> Option<&Placed> {
-        let job = self.jobs.get(self.by_id.get(&run.job)?)?;
-        match &job.tasks.get(run.task as usize)?.state {
-            State::Placed(placed) if placed.agent == agent && placed.number == run.number => {
-                Some(placed)
-            }
-            _ => None,
-        }
-    }
-
-    pub(super) fn placed_mut(&mut self, run: &Run, agent: &str) -> Option<(JobNo, &mut Placed)> {
+    /// A run that an agent has, by what is known here.
+    pub(super) fn placed(&mut self, run: &Run, agent: &str) -> Option<(JobNo, &mut Placed)> {
         let no = *self.by_id.get(&run.job)?;
         let job = self.jobs.get_mut(&no)?;
         match &mut job.tasks.get_mut(run.task as usize)?.state {
--- a/src/decide/besteffort/board/endings.rs
+++ b/src/decide/besteffort/board/endings.rs
@@ -5,9 +5,7 @@
 use compact_str::CompactString;
 
 use crate::decide::besteffort::board::{Action, Board, RETRY_NO_WORKER};
-use crate::decide::besteffort::job::{Job, JobNo, NotRun, Outcome, State, Task};
-use crate::decide::besteffort::message::Run;
-use crate::id;
+use crate::decide::besteffort::job::{Job, JobNo, NotRun, Outcome, Task};
 
 /// How long endings answer a submission that arrives once more; callers do so seconds later.
 const KEEP_ENDINGS: time::Duration = time::Duration::from_secs(15);
@@ -25,16 +23,13 @@
 impl Board {
     /// Gives up every job that hasn't ended, since the entry ends now.
     pub fn give_up_all(&mut self, now: time::Duration) {
-        let all: Vec<JobNo> = self.jobs.keys().copied().collect();
-        for no in all {
-            self.finish(now, no, Outcome::GaveUp);
-        }
+        self.give_up(now, |_| true);
     }
 
-    pub(super) fn give_up(&mut self, now: time::Duration) {
-        let late = self.jobs.iter().filter(|(_, job)| now >= job.ask.deadline);
-        let late: Vec<JobNo> = late.map(|(no, _)| *no).collect();
-        for no in late {
+    pub(super) fn give_up(&mut self, now: time::Duration, is_lost: impl Fn(&Job) -> bool) {
+        let lost = self.jobs.iter().filter(|(_, job)| is_lost(job));
+        let lost: Vec<JobNo> = lost.map(|(no, _)| *no).collect();
+        for no in lost {
             self.finish(now, no, Outcome::GaveUp);
         }
     }
@@ -89,15 +84,7 @@
         let Some(job) = self.jobs.get(&no) else {
             return;
         };
-        for (index, task) in job.tasks.iter().enumerate() {
-            let State::Placed(placed) = &task.state else {
-                continue;
-            };
-            let run = Run {
-                job: job.ask.job.clone(),
-                task: index as id::TaskIndex,
-                number: placed.number,
-            };
+        for (run, placed) in job.runs() {
             let Some(view) = self.agents.get_mut(&placed.agent) else {
                 continue;
             };
@@ -125,8 +112,8 @@
         *self.counts.jobs.entry(key).or_default() += 1;
         let took = now.saturating_sub(job.arrived);
         self.counts.took.observe("outcome", outcome.name(), took);
-        if let Some(first) = job.first_start {
-            let waited = first.saturating_sub(job.arrived);
+        let waited = job.first_start.unwrap_or(now).saturating_sub(job.arrived);
+        if job.first_start.is_some() {
             self.counts.waited.observe("class", &job.ask.class, waited);
         }
         let why = match outcome {
@@ -135,7 +122,6 @@
         };
         let failed: u32 = job.tasks.iter().map(|task: &Task| task.failed).sum();
         let ms = |d: time::Duration| d.as_millis() as u64;
-        let waited = job.first_start.unwrap_or(now).saturating_sub(job.arrived);
         let places =
             if now > job.latest + job.estimate.mul_f64(SLACK_OF_WIDTH) || failed + job.moved > 0 {
                 job.places()
@@ -145,7 +131,7 @@
         log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(), places = places.as_str(),
             outcome = outcome.name(), why = why, tasks = job.ask.tasks, starts = job.starts,
             failed = failed, moved = job.moved, estimate_ms = ms(job.estimate),
-            waited_ms = ms(waited), took_ms = ms(now.saturating_sub(job.arrived)),
+            waited_ms = ms(waited), took_ms = ms(took),
             queued = self.queue.len(), agents = self.agents.len(); "job answered");
     }
 }
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -151,8 +151,8 @@
         if !there.any(|v| v.backend.service == job.ask.service) {
             return Some((NotRun::NoWorker, RETRY_NO_WORKER));
         }
-        let mut there = self.agents.values().filter(|v| v.is_there());
-        if !there.any(|v| self.suits(job, v) && v.backend.size.fits(&job.ask.need)) {
+        let mut suiting = self.suiting(job);
+        if !suiting.any(|v| v.backend.size.fits(&job.ask.need)) {
             return Some((NotRun::NoFit, RETRY_NO_WORKER));
         }
         let forecast = self.forecast(now, job);
@@ -215,7 +215,7 @@
     pub fn tick(&mut self, now: time::Duration) {
         self.drop_silent(now);
         self.settle_doubts(now);
-        self.give_up(now);
+        self.give_up(now, |job| now >= job.ask.deadline);
         self.refuse_hopeless(now);
         self.learned.compare();
         self.forget_endings(now);
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -12,7 +12,7 @@
 
 use crate::decide::besteffort::board::{Action, Board};
 use crate::decide::besteffort::job::{Job, JobNo, Placed, State};
-use crate::decide::besteffort::message::{Run, Start};
+use crate::decide::besteffort::message::Start;
 use crate::decide::besteffort::view::View;
 use crate::id;
 
@@ -62,8 +62,13 @@
 }
 
 impl Board {
-    /// Whether a worker may run a job, room apart.
-    pub(super) fn suits(&self, job: &Job, view: &View) -> bool {
+    /// The agents whose workers take work and may run a job, room apart.
+    pub(super) fn suiting<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a View> {
+        let there = self.agents.values().filter(|view| view.is_there());
+        there.filter(|view| Board::suits(job, view))
+    }
+
+    fn suits(job: &Job, view: &View) -> bool {
         let ask = &job.ask;
         let labelled = |label: &CompactString| view.backend.labels.contains(label);
         view.backend.service == ask.service && ask.requires.as_ref().is_none_or(labelled)
@@ -72,10 +77,8 @@
     /// How long a new job would wait until all its tasks have room, by what is asked for before it
     /// and the rate at which room has come free for this entry lately.
     pub(super) fn forecast(&self, now: time::Duration, job: &Job) -> Forecast {
-        let there = self.agents.values().filter(|view| view.is_there());
-        let fitting = there.filter(|view| self.suits(job, view));
         let (mut share, mut free) = (0.0, 0);
-        for view in fitting {
+        for view in self.suiting(job) {
             let rate = view.backend.size.cpu as f64 / self.learned.slowness(&view.agent).max(1.0);
             share += rate / f64::from(view.sharers);
             free += view.free().cpu.max(0) / job.ask.need.cpu.max(1);
@@ -162,13 +165,8 @@
             changed: now,
             moving: false,
         });
-        let run = Run {
-            job: job.ask.job.clone(),
-            task: index,
-            number,
-        };
         let start = Start {
-            run,
+            run: job.run(index, number),
             input: job.ask.input.clone(),
             need: job.ask.need,
             priority: job.ask.priority,
@@ -194,7 +192,7 @@
         let last = task.last.as_ref();
         let mut best: Option<(f64, &View)> = None;
         for view in self.agents.values() {
-            if !view.takes(now) || !self.suits(job, view) || !view.free().fits(&job.ask.need) {
+            if !view.takes(now) || !Board::suits(job, view) || !view.free().fits(&job.ask.need) {
                 continue;
             }
             if failed_at == Some(&view.agent) {
@@ -215,8 +213,7 @@
     }
 
     fn has_other(&self, job: &Job) -> bool {
-        let there = self.agents.values().filter(|view| view.is_there());
-        there.filter(|view| self.suits(job, view)).count() > 1
+        self.suiting(job).count() > 1
     }
 
     fn has_share(&self, job: &Job, view: &View) -> bool {
--- a/src/decide/besteffort/board/rescue.rs
+++ b/src/decide/besteffort/board/rescue.rs
@@ -36,7 +36,7 @@
 impl Board {
     /// Takes in how far a run is, and moves it where that ends it sooner.
     pub(super) fn progress(&mut self, now: time::Duration, agent: &str, progress: &Progress) {
-        let Some((no, placed)) = self.placed_mut(&progress.run, agent) else {
+        let Some((no, placed)) = self.placed(&progress.run, agent) else {
             return;
         };
         if progress.percent != placed.percent {
@@ -88,10 +88,7 @@
         } else {
             projected / slowness
         };
-        let others = self
-            .agents
-            .values()
-            .filter(|v| v.agent != placed.agent && v.is_there() && self.suits(job, v));
+        let others = self.suiting(job).filter(|v| v.agent != placed.agent);
         // Where all are full a task goes to the head of the queue, and room comes free every few
         // milliseconds.
         let best = others
@@ -112,7 +109,7 @@
         let Some(link) = self.agents.get(&placed.agent).and_then(|view| view.link) else {
             return;
         };
-        if let Some((_, placed)) = self.placed_mut(run, &placed.agent) {
+        if let Some((_, placed)) = self.placed(run, &placed.agent) {
             placed.moving = true;
         }
         if let Some(job) = self.jobs.get_mut(&no) {
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::decide::besteffort::message::{JobId, Room, RunNumber};
+use crate::decide::besteffort::message::{JobId, Room, Run, RunNumber};
 use crate::id;
 
 /// Numbers the jobs of one life of an entry.
@@ -174,6 +174,27 @@
         (self.ask.priority, self.latest, no, task)
     }
 
+    /// A run of one of its tasks.
+    pub fn run(&self, task: id::TaskIndex, number: u64) -> Run {
+        Run {
+            job: self.ask.job.clone(),
+            task,
+            number,
+        }
+    }
+
+    /// Its runs that were sent to an agent and haven't ended, and where they are.
+    pub fn runs(&self) -> impl Iterator<Item = (Run, &Placed)> {
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter_map(|(index, task)| match &task.state {
+            State::Placed(placed) => {
+                let run = self.run(index as id::TaskIndex, placed.number);
+                Some((run, placed))
+            }
+            State::Waiting | State::Done => None,
+        })
+    }
+
     /// The agents that have or had the tasks, in the order of the tasks, for the log.
     pub fn places(&self) -> CompactString {
         let names = self.tasks.iter().map(|task| match &task.state {
