Metrics of store calls, service time, lost leases, refusals and ages

Both pages lacked what on-call engineers ask for after a bad hour: calls to the store by kind and outcome, service time by class, refusals by reason, answers by status, restarted tasks, lost leases by cause, how old the configuration and the membership are.

--- a/src/besteffort/agent/mod.rs
+++ b/src/besteffort/agent/mod.rs
@@ -23,8 +23,8 @@
 use crate::besteffort::agent::server::{check_life, flush, tick, watch};
 use crate::clock;
 use crate::decide::besteffort::lease::{self, Bounds};
-use crate::decide::besteffort::message::{Backend, EntryName, Run};
-use crate::decide::besteffort::slots::{Listing, Slots, StartAnswer};
+use crate::decide::besteffort::message::{Backend, EntryName, Room, Run};
+use crate::decide::besteffort::slots::{Counts, Listing, Slots, StartAnswer};
 use crate::id;
 
 /// How often time bounds are looked at; small against the shortest of them (40 ms).
@@ -83,6 +83,23 @@
     pub bounds: Bounds,
 }
 
+/// An agent in numbers.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// Whether anything is with the backend server.
+    pub working: bool,
+    /// Room that nobody uses or waits for.
+    pub free: Room,
+    /// Entries that are linked.
+    pub linked: usize,
+    /// How long ago the backend server answered; none if it never did.
+    pub heard_ago: Option<time::Duration>,
+    /// Whether it takes new work.
+    pub takes_work: bool,
+    /// Counts since the start.
+    pub counts: Counts,
+}
+
 struct Inner {
     cfg: Config,
     server: BackendServer,
@@ -102,7 +119,7 @@
     news: Arc<Notify>,
     name: Option<EntryName>,
     hungry: bool,
-    free_told: crate::decide::besteffort::message::Room,
+    free_told: Room,
 }
 
 /// A running agent.
@@ -222,10 +239,22 @@
         sleep(TICK).await;
     }
 
-    /// Runs held at the moment, and the room that is left.
-    pub fn load(&self) -> (bool, crate::decide::besteffort::message::Room) {
+    /// What it has and did, for the metrics page.
+    pub fn status(&self) -> Status {
+        let now = clock::since_boot();
+        let linked = lock(&self.inner.links)
+            .values()
+            .filter(|l| l.name.is_some())
+            .count();
         let slots = lock(&self.inner.slots);
-        (slots.is_working(), slots.free())
+        Status {
+            working: slots.is_working(),
+            free: slots.free(),
+            linked,
+            heard_ago: slots.heard_ago(now),
+            takes_work: slots.backend().takes_work,
+            counts: slots.counts.clone(),
+        }
     }
 }
 
--- a/src/besteffort/entry.rs
+++ b/src/besteffort/entry.rs
@@ -16,7 +16,7 @@
 
 use crate::besteffort::line;
 use crate::clock;
-use crate::decide::besteffort::board::{Action, Admitted, Board, Counts};
+use crate::decide::besteffort::board::{Action, Admitted, Board, Counts, Membership};
 use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Submission};
 use crate::decide::besteffort::lease::Bounds;
 use crate::decide::besteffort::message::{EntryName, FromAgent, FromEntry};
@@ -158,6 +158,11 @@
         lock(&self.inner.board).counts.clone()
     }
 
+    /// What is known of the agents, in numbers.
+    pub fn membership(&self) -> Membership {
+        lock(&self.inner.board).membership(clock::since_boot())
+    }
+
     /// Agents that are linked.
     pub fn agents(&self) -> usize {
         lock(&self.inner.links).len()
--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -132,6 +132,8 @@
                 let left = job.left;
                 let took = time::Duration::from_millis(end.took_ms);
                 self.learned.done(&class, &placed.agent, estimate, took);
+                let labels = [("class", class.as_str())];
+                self.counts.served.observe(&labels, took);
                 if let Some(view) = self.agents.get_mut(&placed.agent) {
                     view.done();
                 }
--- a/src/decide/besteffort/board/endings.rs
+++ b/src/decide/besteffort/board/endings.rs
@@ -111,15 +111,21 @@
         let key = (job.ask.class.clone(), outcome.name());
         *self.counts.jobs.entry(key).or_default() += 1;
         let took = now.saturating_sub(job.arrived);
-        self.counts.took.observe("outcome", outcome.name(), took);
+        let labels = [("outcome", outcome.name())];
+        self.counts.took.observe(&labels, took);
         let waited = job.first_start.unwrap_or(now).saturating_sub(job.arrived);
         if job.first_start.is_some() {
-            self.counts.waited.observe("class", &job.ask.class, waited);
+            let labels = [("class", job.ask.class.as_str())];
+            self.counts.waited.observe(&labels, waited);
         }
         let why = match outcome {
             Outcome::NotRun(why, _) => why.name(),
             _ => "",
         };
+        if !why.is_empty() {
+            let key = (job.ask.class.clone(), why);
+            *self.counts.refused.entry(key).or_default() += 1;
+        }
         let failed: u32 = job.tasks.iter().map(|task: &Task| task.failed).sum();
         let ms = |d: time::Duration| d.as_millis() as u64;
         let places =
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -54,8 +54,12 @@
 pub struct Counts {
     /// Jobs by class and outcome.
     pub jobs: BTreeMap<(CompactString, &'static str), u64>,
+    /// Refusals by class and reason.
+    pub refused: BTreeMap<(CompactString, &'static str), u64>,
     /// Starts sent.
     pub starts: u64,
+    /// Those of tasks that had been sent before.
+    pub again: u64,
     /// Runs that came back without having begun.
     pub bounced: u64,
     /// Runs that failed.
@@ -68,6 +72,21 @@
     pub took: metrics::Seconds,
     /// From a job's arrival to its first start, by class.
     pub waited: metrics::Seconds,
+    /// From a run's start to its end, by class; of runs that were done.
+    pub served: metrics::Seconds,
+}
+
+/// The agents in numbers, for the metrics page.
+#[derive(Clone, Copy, Debug)]
+pub struct Membership {
+    /// Agents that may still have runs of ours, cut off ones included.
+    pub known: usize,
+    /// Those that are linked.
+    pub linked: usize,
+    /// Those that get work: linked, taking it, not barred.
+    pub taking: usize,
+    /// How long ago the linked agent was heard that was heard longest ago; none without any.
+    pub heard: Option<time::Duration>,
 }
 
 /// The state of an entry.
@@ -201,6 +220,18 @@
         waiting.filter(|job| job.ask.class == class).count()
     }
 
+    /// What is known of the agents, in numbers.
+    pub fn membership(&self, now: time::Duration) -> Membership {
+        let linked = || self.agents.values().filter(|view| view.link.is_some());
+        let heard = linked().map(|view| view.heard).min();
+        Membership {
+            known: self.agents.len(),
+            linked: linked().count(),
+            taking: linked().filter(|view| view.takes(now)).count(),
+            heard: heard.map(|heard| now.saturating_sub(heard)),
+        }
+    }
+
     /// Jobs that haven't ended.
     pub fn open_jobs(&self) -> usize {
         self.jobs.len()
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -158,7 +158,9 @@
         job.next_run += 1;
         job.starts += 1;
         job.first_start.get_or_insert(now);
-        job.tasks[index as usize].state = State::Placed(Placed {
+        let task = &mut job.tasks[index as usize];
+        self.counts.again += u64::from(task.last.is_some());
+        task.state = State::Placed(Placed {
             agent,
             number,
             percent: 0,
--- a/src/decide/besteffort/lease.rs
+++ b/src/decide/besteffort/lease.rs
@@ -124,6 +124,12 @@
         now > self.answered + bound
     }
 
+    /// How long ago the latest answer came; none if none did.
+    pub fn heard_ago(&self, now: time::Duration) -> Option<time::Duration> {
+        self.offset?;
+        Some(now.saturating_sub(self.answered))
+    }
+
     /// Whether a renewal is overdue, so that one more is worth a call of its own.
     pub fn overdue(&self, now: time::Duration, after: time::Duration) -> bool {
         now > self.confirmed + after
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -114,6 +114,19 @@
     Rejected,
 }
 
+impl How {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            How::Done => "done",
+            How::Failed => "failed",
+            How::Gone => "gone",
+            How::NotRun => "not_run",
+            How::Rejected => "rejected",
+        }
+    }
+}
+
 /// The end of one run.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Ended {
--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -12,7 +12,7 @@
 
 use crate::decide::besteffort::lease::Lease;
 use crate::decide::besteffort::message::Backend;
-use crate::decide::besteffort::slots::{Listing, Slots};
+use crate::decide::besteffort::slots::{Listing, Slots, ANOTHER_LIFE};
 
 /// A life that has announced itself and was asked whether it is there.
 #[derive(Clone, Debug)]
@@ -112,7 +112,8 @@
         }
         log::info!(instance = backend.instance.as_str(), before = self.backend.instance.as_str(),
             held = self.held.len(); "backend server has a new life");
-        self.lost(now, "another life of the backend server");
+        self.counts.lives += 1;
+        self.lost(now, ANOTHER_LIFE);
         // What is known of the clock and the lease is of the life before.
         self.lease = Lease::open(self.bounds);
         self.acknowledged = 0;
@@ -140,6 +141,6 @@
 
     /// Another life of the backend server has answered; nothing of the one that is known runs.
     pub fn another_life(&mut self, now: time::Duration) {
-        self.lost(now, "another life has answered");
+        self.lost(now, ANOTHER_LIFE);
     }
 }
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -16,9 +16,14 @@
 
 use crate::decide::besteffort::lease::{Bounds, Lease};
 use crate::decide::besteffort::message::{Backend, Ended, EntryName, How, Room, Run, Start};
+use crate::metrics;
 
 pub use lives::{Check, Checked};
 
+/// Why runs are lost, in logs and metrics.
+const LEASE_RAN_OUT: &str = "lease ran out";
+const ANOTHER_LIFE: &str = "another life";
+
 /// Ends that are repeated when an entry connects again.
 const KEPT_ENDS: usize = 128;
 
@@ -72,6 +77,18 @@
     Unknown,
 }
 
+impl StartAnswer {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            StartAnswer::Accepted => "accepted",
+            StartAnswer::Refused => "refused",
+            StartAnswer::Unwell => "unwell",
+            StartAnswer::Unknown => "unknown",
+        }
+    }
+}
+
 /// What a backend server says that it has.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -131,6 +148,21 @@
     kept: VecDeque<Ended>,
 }
 
+/// Counts since the start, for the metrics page.
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    /// From a run's start, or its arrival if it never began, to its end; by how it ended.
+    pub ended: metrics::Seconds,
+    /// Starts by what came of them.
+    pub starts: BTreeMap<&'static str, u64>,
+    /// Stops sent, repeated ones included.
+    pub stops: u64,
+    /// Times that the lease ran out, or the backend server crashed, under runs; by which it was.
+    pub lost: BTreeMap<&'static str, u64>,
+    /// Lives of the backend server that were taken up.
+    pub lives: u64,
+}
+
 /// The state of an agent.
 #[derive(Debug)]
 pub struct Slots {
@@ -155,6 +187,8 @@
     stopping: bool,
     /// Whether the backend server was heard lately.
     reached: bool,
+    /// What the agent did since the start.
+    pub counts: Counts,
 }
 
 fn millis(ms: u64) -> time::Duration {
@@ -180,6 +214,7 @@
             alien_stops: BTreeMap::new(),
             stopping: false,
             reached: false,
+            counts: Counts::default(),
         }
     }
 
@@ -211,6 +246,11 @@
         })
     }
 
+    /// How long ago the backend server answered; none if it never did.
+    pub fn heard_ago(&self, now: time::Duration) -> Option<time::Duration> {
+        self.lease.heard_ago(now)
+    }
+
     /// Whether nothing is held.
     pub fn is_idle(&self) -> bool {
         self.held.is_empty()
@@ -241,7 +281,7 @@
             self.reach(now, false);
         }
         if self.is_working() && self.lease.lapsed(now) {
-            self.lost(now, "the lease ran out");
+            self.lost(now, LEASE_RAN_OUT);
         }
         let mut unwanted = Vec::new();
         let mut bounced = Vec::new();
@@ -314,6 +354,7 @@
 
     fn order_stop(&mut self, run: Run) {
         let life = self.instance();
+        self.counts.stops += 1;
         self.orders.push(Order::Stop { life, run });
     }
 
@@ -327,10 +368,12 @@
             self.used = self.used.minus(&held.start.need);
         }
         let entry = self.entries.entry(held.entry).or_default();
+        let took = now.saturating_sub(held.since);
+        self.counts.ended.observe(&[("how", how.name())], took);
         let ended = Ended {
             run: run.clone(),
             how,
-            took_ms: now.saturating_sub(held.since).as_millis() as u64,
+            took_ms: took.as_millis() as u64,
         };
         entry.ended.push(ended.clone());
         entry.kept.push_back(ended);
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -15,11 +15,12 @@
 
 impl Slots {
     /// Everything that was with the backend server has ended: its lease ran out or it is another.
-    pub(super) fn lost(&mut self, now: time::Duration, why: &str) {
+    pub(super) fn lost(&mut self, now: time::Duration, why: &'static str) {
         let gone = self.held.iter().filter(|(_, h)| h.state != State::Waiting);
         let gone: Vec<Run> = gone.map(|(run, _)| run.clone()).collect();
         if !gone.is_empty() {
             log::warn!(runs = gone.len(), why = why; "runs lost with the backend server");
+            *self.counts.lost.entry(why).or_default() += 1;
         }
         for run in gone {
             self.end(now, &run, How::Gone);
@@ -78,6 +79,7 @@
 
     /// A start was answered, or its time ran out.
     pub fn answered(&mut self, now: time::Duration, run: &Run, answer: StartAnswer) {
+        *self.counts.starts.entry(answer.name()).or_default() += 1;
         let Some(held) = self.held.get_mut(run) else {
             return;
         };
