A stopped server ends its open connections; an entry that left is no late one

Cause of the configuration that took 5.0 to 6.0 s with leave,operator-race: the entry that leaves is stopped in this process, and its HTTP server kept serving connections that were open, with the version known at the stop, until the race was judged 5 s later. An embedded entry did the same. Ruled out by the trace (the late entry's address and when it answered last, now logged): a slow table, lost answers of writes, the watch of the row, a draining entry that stops looking. Change: connections of a server break when it stops (wire/closing.rs); the race judges an entry up to its last answer. That narrows the check for an entry that is silent for good; the trace shows the case: heard 5.0 to 5.8 s before, at its stop, its new life not there yet.

--- a/src/demo/race.rs
+++ b/src/demo/race.rs
@@ -162,7 +162,12 @@
                 race.broken += 1;
             }
             for entry in caller.entries().all() {
-                race.spread = race.spread.max(self.spread(&entry, *version, *at));
+                let spread = self.spread(&entry, *version, *at);
+                if spread > IN_FORCE {
+                    let heard = self.heard.get(&entry).map(|(last, _)| last.elapsed());
+                    log::error!("{entry} is without version {version} after {spread:?}, heard {heard:?} ago");
+                }
+                race.spread = race.spread.max(spread);
             }
         }
         if race.spread > IN_FORCE {
@@ -173,17 +178,20 @@
     }
 
     /// How long it took until an entry showed a version or a newer one, from its acceptance or, if
-    /// later, from when the entry was back from a silence, such as a pause.
+    /// later, from when the entry was back from a silence, such as a pause. One that has stopped
+    /// for good is asked no more: what it didn't show counts up to its last answer.
     fn spread(&self, entry: &str, version: id::Version, at: time::Instant) -> time::Duration {
         let Some(versions) = self.shown.get(entry) else {
             return time::Duration::ZERO;
         };
-        let back = self.heard.get(entry).map_or(at, |(_, back)| *back);
-        let at = at.max(back);
+        let Some((last, back)) = self.heard.get(entry) else {
+            return time::Duration::ZERO;
+        };
+        let at = at.max(*back);
         let newer = versions.range(version..).map(|(_, first)| *first).min();
         match newer {
             Some(first) => first.saturating_duration_since(at),
-            None => at.elapsed(),
+            None => last.saturating_duration_since(at),
         }
     }
 }
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -20,6 +20,7 @@
 
 use crate::code;
 use crate::refusal;
+use crate::wire::closing;
 
 /// How long a body may take to arrive, so that a slow or half-closed caller holds nothing.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -104,6 +105,7 @@
 pub struct Server {
     addr: net::SocketAddr,
     serving: JoinHandle<()>,
+    connections: closing::Switch,
 }
 
 impl Server {
@@ -112,9 +114,10 @@
         self.addr
     }
 
-    /// Takes no more connections.
+    /// Takes no more connections and breaks the open ones off.
     pub fn stop(&self) {
         self.serving.abort();
+        self.connections.close();
     }
 }
 
@@ -143,14 +146,20 @@
         let handler = H::clone(&handler);
         Ok(move |state: State| -> Pin<Box<HandlerFuture>> { Box::pin(serve(state, handler)) })
     };
+    let connections = closing::open();
+    let switch = connections.clone();
     let serving = tokio::spawn(async move {
         gotham::bind_server(listener, new_handler, |stream| {
             let _ = stream.set_nodelay(true);
-            std::future::ready(Ok::<_, ()>(stream))
+            std::future::ready(Ok::<_, ()>(switch.connect(stream)))
         })
         .await;
     });
-    Ok(Server { addr, serving })
+    Ok(Server {
+        addr,
+        serving,
+        connections,
+    })
 }
 
 type Served = Result<(State, Response<Body>), (State, HandlerError)>;
