--- a/examples/fair_queue.rs
+++ b/examples/fair_queue.rs
@@ -5,7 +5,8 @@
 use std::time;
 
 use lovagemill::decide::demand::{self, Demand};
-use lovagemill::decide::queue::{Policy, Queue, Waiting};
+use lovagemill::decide::queue::{Policy, Queue};
+use lovagemill::decide::waiting::Waiting;
 use lovagemill::id;
 use lovagemill::task;
 
--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -194,7 +194,7 @@
         format!("http://{entry}/v1/requests"),
         body.to_string(),
     )
-    .header(caller::IDEMPOTENCY_KEY, demo::mint(aged))
+    .header(caller::IDEMPOTENCY_KEY, demo::caller::mint(aged))
 }
 
 fn job_call(entry: &str, class: &str, tasks: usize) -> http::Call {
@@ -207,7 +207,7 @@
         format!("http://{entry}/v1/jobs"),
         body.to_string(),
     )
-    .header(caller::IDEMPOTENCY_KEY, demo::mint(true))
+    .header(caller::IDEMPOTENCY_KEY, demo::caller::mint(true))
 }
 
 fn usage_of(pids: &[u32]) -> anyhow::Result<Vec<(f64, String)>> {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent: the process beside a backend server that owns its slots and starts its tasks.
 
 mod announce;
+mod held;
 mod join;
 mod large;
 mod spans;
--- a/src/agent/work.rs
+++ b/src/agent/work.rs
@@ -1,21 +1,20 @@
 //! The work of an agent: what runs, what waits for a slot, and the answers' way up.
 
-use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
 use compact_str::CompactString;
 use tokio::sync::Notify;
-use tokio::task::AbortHandle;
 
+use crate::agent::held::{Backend, Held, Running, Waiting};
 use crate::agent::large;
 use crate::agent::spans::Hops;
 use crate::agent::Config;
 use crate::code;
 use crate::count;
-use crate::decide::ledger::{self, Ledger};
+use crate::decide::ledger;
 use crate::decide::notice::{self, Notice};
-use crate::decide::order::{self, Order};
+use crate::decide::order::Order;
 use crate::id;
 use crate::metrics;
 use crate::task;
@@ -25,9 +24,6 @@
 use crate::wire::link;
 use crate::wire::platform;
 
-/// Silence of a backend server after which nothing new is sent to it.
-const BACKEND_SILENCE: time::Duration = time::Duration::from_secs(2);
-
 /// Pause between looks for what need not be remembered any more.
 const SWEEP: time::Duration = time::Duration::from_secs(1);
 
@@ -38,40 +34,11 @@
     http: http::Client,
     large: large::Large,
     messages: count::Messages,
-    inner: Mutex<Inner>,
+    inner: Mutex<Held>,
     changed: Notify,
     spoke: Mutex<time::Instant>,
 }
 
-struct Inner {
-    ledger: Ledger,
-    backend: Option<Backend>,
-    running: HashMap<task::Id, Running>,
-    waiting: VecDeque<Waiting>,
-    owner: Option<link::Sender<Notice>>,
-    /// The owner's link, and how many of its messages have come.
-    link: id::Link,
-    received: u64,
-    swept: time::Instant,
-    draining: bool,
-}
-
-struct Backend {
-    announcement: backend::Announcement,
-    heard: time::Instant,
-}
-
-/// A start that waits for a slot.
-struct Waiting {
-    start: order::Start,
-    since: time::Instant,
-}
-
-struct Running {
-    abort: AbortHandle,
-    since: time::Instant,
-}
-
 impl Work {
     /// Opens an agent's work for one life.
     pub fn open(
@@ -87,17 +54,7 @@
             incarnation: incarnation >> 11,
             http: http::open(backend::MAX_ANSWER),
             messages,
-            inner: Mutex::new(Inner {
-                ledger: Ledger::default(),
-                backend: None,
-                running: HashMap::new(),
-                waiting: VecDeque::new(),
-                owner: None,
-                link: 0,
-                received: 0,
-                swept: time::Instant::now(),
-                draining: false,
-            }),
+            inner: Mutex::new(Held::open(time::Instant::now())),
             changed: Notify::new(),
             spoke: Mutex::new(time::Instant::now()),
         })
@@ -161,7 +118,7 @@
         self.fill(&mut inner);
     }
 
-    fn obey(&self, inner: &mut Inner, now: time::Instant, epoch: id::Epoch, order: Order) {
+    fn obey(&self, inner: &mut Held, now: time::Instant, epoch: id::Epoch, order: Order) {
         match order {
             Order::Start(start) => inner.accept(now, epoch, start),
             Order::Cancel(job) => self.cancel(inner, now, epoch, &job),
@@ -174,7 +131,7 @@
         }
     }
 
-    fn cancel(&self, inner: &mut Inner, now: time::Instant, epoch: id::Epoch, job: &id::JobKey) {
+    fn cancel(&self, inner: &mut Held, now: time::Instant, epoch: id::Epoch, job: &id::JobKey) {
         let started = inner.ledger.cancel(now, epoch, job);
         for id in started {
             if let Some(running) = inner.running.remove(&id) {
@@ -198,7 +155,7 @@
     }
 
     /// Starts what waits, as far as there are slots.
-    fn fill(self: &Arc<Self>, inner: &mut Inner) {
+    fn fill(self: &Arc<Self>, inner: &mut Held) {
         let now = time::Instant::now();
         while inner.running.len() < inner.slots(now) as usize {
             let Some(waiting) = inner.waiting.pop_front() else {
@@ -387,7 +344,7 @@
         inner.owner = None;
     }
 
-    async fn until(&self, holds: impl Fn(&Inner) -> bool) {
+    async fn until(&self, holds: impl Fn(&Held) -> bool) {
         loop {
             let changed = self.changed.notified();
             if holds(&self.lock()) {
@@ -397,87 +354,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, Held> {
         self.inner.lock().expect("the agent's state is whole")
     }
 }
-
-impl Inner {
-    fn tell(&mut self, notice: Notice) {
-        if let Some(owner) = &self.owner {
-            if owner.send(notice).is_err() {
-                // The link is gone; the owner asks by key once it is back.
-                self.owner = None;
-            }
-        }
-    }
-
-    fn accept(&mut self, now: time::Instant, epoch: id::Epoch, start: order::Start) {
-        if self.draining || self.slots(now) == 0 {
-            let mark = (epoch, start.attempt);
-            if self.ledger.withdraw(now, &start.id, mark) {
-                self.tell(Notice::Refused(start.attempt(), code::Code::NotJoined));
-            }
-            return;
-        }
-        match self.ledger.start(now, epoch, &start.id, start.attempt) {
-            ledger::Verdict::Run => self.waiting.push_back(Waiting { start, since: now }),
-            ledger::Verdict::Duplicate => {}
-            ledger::Verdict::Refuse(code) => {
-                self.tell(Notice::Refused(start.attempt(), code));
-            }
-        }
-    }
-
-    /// Gives back what waits here and can't be run here any more.
-    fn give_back(&mut self, now: time::Instant) {
-        for Waiting { start, .. } in std::mem::take(&mut self.waiting) {
-            let attempt = self.ledger.unstart(now, &start.id);
-            self.tell(Notice::Refused(attempt, code::Code::NotJoined));
-        }
-    }
-
-    fn resolve(&mut self, now: time::Instant, epoch: id::Epoch, ids: &[order::Attempt]) {
-        for (attempt, standing) in self.ledger.resolve(now, epoch, ids) {
-            if let Some((outcome, ran_us)) = self.ledger.answer(&attempt.id) {
-                self.tell(Notice::Answer(notice::Answer {
-                    id: attempt.id,
-                    outcome,
-                    ran_us,
-                }));
-            } else {
-                self.tell(Notice::Standing(attempt, standing));
-            }
-        }
-    }
-
-    /// Slots of the backend server; none once it has left, silently or not.
-    fn slots(&self, now: time::Instant) -> u32 {
-        // Before it has joined it may start nothing; to offer slots would only draw starts.
-        if !self.ledger.is_joined() {
-            return 0;
-        }
-        match &self.backend {
-            Some(backend) if backend.announcement.leaving => 0,
-            Some(backend) if now.saturating_duration_since(backend.heard) > BACKEND_SILENCE => 0,
-            Some(backend) => backend
-                .announcement
-                .slots
-                .min(backend.announcement.connections),
-            None => 0,
-        }
-    }
-
-    fn load(&self, now: time::Instant) -> notice::Load {
-        let capacity = self
-            .backend
-            .as_ref()
-            .map(|backend| backend.announcement.capacity);
-        notice::Load {
-            slots: self.slots(now),
-            capacity: capacity.unwrap_or_default(),
-            running: self.running.len() as u32,
-            draining: self.draining,
-        }
-    }
-}
--- a/src/bench/takeover.rs
+++ b/src/bench/takeover.rs
@@ -119,7 +119,7 @@
     };
     let uri = format!("http://{addr}/v1/requests");
     let call = http::Call::new(Method::POST, uri, serde_json::to_vec(&req)?)
-        .header(caller::IDEMPOTENCY_KEY, demo::mint(true));
+        .header(caller::IDEMPOTENCY_KEY, demo::caller::mint(true));
     let answer = http.call(call, PATIENCE).await?;
     let text = String::from_utf8_lossy(&answer.body);
     ensure!(answer.status.is_success(), "no answer came: {text}");
--- a/src/cli/command/submit.rs
+++ b/src/cli/command/submit.rs
@@ -53,7 +53,7 @@
 pub async fn submit(opts: &SubmitOpts, path: &str) -> anyhow::Result<ExitCode> {
     let client = opts.entry.client()?;
     let body = read(&opts.file)?;
-    let key = opts.key.clone().unwrap_or_else(|| demo::mint(true));
+    let key = opts.key.clone().unwrap_or_else(|| demo::caller::mint(true));
     let mut mistakes = Mistakes::default();
     mistakes.expect(filter::key::is_key(&key), "--key", KEY);
     mistakes.finish()?;
--- a/src/decide/line.rs
+++ b/src/decide/line.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time;
 
-use crate::decide::queue::Waiting;
+use crate::decide::waiting::Waiting;
 use crate::id;
 
 /// Wait, as a share of a job's longest task, after which the job counts as due.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,3 +25,5 @@
 pub mod shape;
 pub mod spread;
 pub mod timing;
+pub mod usage;
+pub mod waiting;
--- a/src/decide/owner/tasks.rs
+++ b/src/decide/owner/tasks.rs
@@ -9,8 +9,8 @@
 use crate::decide::notice;
 use crate::decide::order;
 use crate::decide::owner::Owner;
-use crate::decide::queue;
 use crate::decide::timing;
+use crate::decide::waiting;
 use crate::id;
 use crate::task;
 
@@ -61,16 +61,16 @@
 
     /// Tells whether a job of which nothing was started can't end within its target any more, even
     /// if its next task runs only half as long as it is thought to.
-    fn is_hopeless(&self, now: time::Instant, waiting: &queue::Waiting) -> bool {
+    fn is_hopeless(&self, now: time::Instant, waiting: &waiting::Waiting) -> bool {
         self.jobs
             .get(&waiting.id.job)
             .is_some_and(|job| job.agents.is_empty() && now + waiting.estimate / 2 > job.deadline)
     }
 
-    pub(super) fn waiting(&self, job: &job::Job, index: id::TaskIndex) -> queue::Waiting {
+    pub(super) fn waiting(&self, job: &job::Job, index: id::TaskIndex) -> waiting::Waiting {
         let declared = &job.submission.job.tasks[index as usize];
         let customer = &job.submission.job.customer;
-        queue::Waiting {
+        waiting::Waiting {
             id: task::Id {
                 job: job.submission.key.clone(),
                 index,
@@ -86,7 +86,7 @@
         &mut self,
         now: time::Instant,
         agent: &id::AgentId,
-        waiting: &queue::Waiting,
+        waiting: &waiting::Waiting,
     ) {
         let id = &waiting.id;
         let job = self
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -2,7 +2,7 @@
 //!
 //! Customers that together fit beside the largest ones are light ([`demand`](crate::decide::demand)
 //! tells); their tasks go first, the one with the least slack before the others. The heavy ones
-//! share what is left by used slot time, which fades with a time constant of [`FADE`].
+//! share what is left by used slot time, which fades with a time constant of [`usage::FADE`].
 //! `docs/design/queue.md` compares this with the baselines.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -13,15 +13,11 @@
 use crate::decide::backlog;
 use crate::decide::line;
 use crate::decide::shape::{self, Rank};
+use crate::decide::usage;
+use crate::decide::waiting::Waiting;
 use crate::id;
 use crate::task;
 
-/// Time constant with which used slot time fades.
-pub const FADE: time::Duration = time::Duration::from_secs(5);
-
-/// Growth of the scale, in units of [`FADE`], after which the books are scaled back.
-const MAX_GROWTH: f64 = 100.0;
-
 /// Tasks of light customers after which one of a heavy customer goes first, so that these are never
 /// starved where the light ones alone exceed the capacity for long.
 const LIGHT_RUN: u32 = 50;
@@ -41,17 +37,6 @@
     RoundRobin,
 }
 
-/// A task that waits.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Waiting {
-    /// The task.
-    pub id: task::Id,
-    /// How long it is thought to run.
-    pub estimate: time::Duration,
-    /// What it takes of a worker.
-    pub needs: task::Needs,
-}
-
 /// A waiting job: whose it is, how many tasks of it wait, and in which shapes.
 #[derive(Clone, Debug)]
 struct Job {
@@ -68,9 +53,8 @@
     shapes: BTreeMap<task::Needs, shape::Shape>,
     jobs: HashMap<id::JobKey, Job>,
     heavy: HashSet<id::Customer>,
-    used: HashMap<id::Customer, f64>,
+    usage: usage::Usage,
     backlogs: HashMap<id::Customer, backlog::Backlog>,
-    base: time::Instant,
     tasks: usize,
     seconds: f64,
     light_seconds: f64,
@@ -87,9 +71,8 @@
             shapes: BTreeMap::new(),
             jobs: HashMap::new(),
             heavy: HashSet::new(),
-            used: HashMap::new(),
+            usage: usage::Usage::open(now),
             backlogs: HashMap::new(),
-            base: now,
             tasks: 0,
             seconds: 0.0,
             light_seconds: 0.0,
@@ -206,8 +189,7 @@
             Policy::RoundRobin if seconds > 0.0 => 1.0,
             Policy::RoundRobin => return,
         };
-        let used = self.used.entry(customer.clone()).or_default();
-        *used = (*used + amount).max(0.0);
+        self.usage.add(customer, amount);
         let shapes: Vec<task::Needs> = self.shapes.keys().copied().collect();
         for needs in shapes {
             self.settle(&needs, customer);
@@ -346,7 +328,7 @@
     fn settle(&mut self, needs: &task::Needs, name: &id::Customer) {
         let rank_of = |line: &line::Line| match (self.policy, line.head()) {
             (Policy::Fair, Some(due)) if !self.heavy.contains(name) => Rank::Light(due),
-            _ => Rank::Heavy(self.used.get(name).copied().unwrap_or(0.0).to_bits()),
+            _ => Rank::Heavy(self.usage.of(name).to_bits()),
         };
         let Some(shape) = self.shapes.get_mut(needs) else {
             return;
@@ -385,29 +367,19 @@
         }
     }
 
-    /// What one second of slot time weighs now. Instead of fading all that was booked, new
-    /// bookings weigh more, so that the order of the lines never changes by itself.
+    /// What one second of slot time weighs now.
     fn scale(&mut self, now: time::Instant) -> f64 {
-        let growth = now.saturating_duration_since(self.base).as_secs_f64() / FADE.as_secs_f64();
-        if growth <= MAX_GROWTH {
-            return growth.exp();
-        }
-        self.base = now;
-        let shrink = (-growth).exp();
-        for used in self.used.values_mut() {
-            *used *= shrink;
-        }
-        self.used.retain(|_, used| *used > f64::MIN_POSITIVE);
-        let listed: Vec<(task::Needs, id::Customer)> = self
-            .shapes
-            .iter()
-            .flat_map(|(needs, shape)| shape.lines.keys().map(|name| (*needs, name.clone())))
-            .collect();
-        for (needs, name) in listed {
-            self.settle(&needs, &name);
+        let (scale, scaled_back) = self.usage.scale(now);
+        if scaled_back {
+            let shapes = self.shapes.iter();
+            let listed = shapes
+                .flat_map(|(needs, shape)| shape.lines.keys().map(|name| (*needs, name.clone())));
+            let listed: Vec<(task::Needs, id::Customer)> = listed.collect();
+            for (needs, name) in listed {
+                self.settle(&needs, &name);
+            }
+            self.backlogs.retain(|_, backlog| backlog.tasks() > 0);
         }
-        let backlogs = &mut self.backlogs;
-        backlogs.retain(|_, backlog| backlog.tasks() > 0);
-        1.0
+        scale
     }
 }
--- /dev/null
+++ b/src/decide/usage.rs
@@ -0,0 +1,60 @@
+//! How much slot time each customer has used, with what is long ago counting less.
+//!
+//! Instead of fading all that was booked, new bookings weigh more, so that the order of the
+//! customers never changes by itself.
+
+use std::collections::HashMap;
+use std::time;
+
+use crate::id;
+
+/// Time constant with which used slot time fades.
+pub const FADE: time::Duration = time::Duration::from_secs(5);
+
+/// Growth of the scale, in units of [`FADE`], after which the books are scaled back.
+const MAX_GROWTH: f64 = 100.0;
+
+/// The books.
+#[derive(Clone, Debug)]
+pub struct Usage {
+    used: HashMap<id::Customer, f64>,
+    /// When a second of slot time weighed 1.
+    base: time::Instant,
+}
+
+impl Usage {
+    /// Opens empty books.
+    pub fn open(now: time::Instant) -> Usage {
+        Usage {
+            used: HashMap::new(),
+            base: now,
+        }
+    }
+
+    /// What a customer has used, on the scale of all.
+    pub fn of(&self, customer: &id::Customer) -> f64 {
+        self.used.get(customer).copied().unwrap_or(0.0)
+    }
+
+    /// Books an amount; a negative one corrects an earlier one.
+    pub fn add(&mut self, customer: &id::Customer, amount: f64) {
+        let used = self.used.entry(customer.clone()).or_default();
+        *used = (*used + amount).max(0.0);
+    }
+
+    /// What one second of slot time weighs now, and whether the books were scaled back for it, so
+    /// that whatever is ordered by them has to be ordered anew.
+    pub fn scale(&mut self, now: time::Instant) -> (f64, bool) {
+        let growth = now.saturating_duration_since(self.base).as_secs_f64() / FADE.as_secs_f64();
+        if growth <= MAX_GROWTH {
+            return (growth.exp(), false);
+        }
+        self.base = now;
+        let shrink = (-growth).exp();
+        for used in self.used.values_mut() {
+            *used *= shrink;
+        }
+        self.used.retain(|_, used| *used > f64::MIN_POSITIVE);
+        (1.0, true)
+    }
+}
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 use serde_json::value::to_raw_value;
 
-use crate::demo;
+use crate::clock;
+use crate::demo::ended::Ended;
 use crate::demo::tally::{self, Tally};
 use crate::demo::workload::Arrival;
 use crate::key;
@@ -96,21 +97,10 @@
     Lost,
 }
 
-/// How a submission ended for its caller.
-#[derive(Clone, Debug)]
-pub enum Ended {
-    /// With the whole answer.
-    Complete,
-    /// With a refusal or failure.
-    Refused(Refusal),
-    /// Never.
-    GaveUp,
-}
-
 impl Caller {
     /// Submits one arrival until it has an ending, and tallies it.
     pub async fn submit(&self, arrival: Arrival, aged: bool) {
-        let key = demo::mint(aged);
+        let key = mint(aged);
         let begun = time::Instant::now();
         let (ended, tries) = self.run(&arrival, &key).await;
         let took = begun.elapsed();
@@ -274,3 +264,12 @@
     };
     to_raw_value(&input).expect("an input is plain JSON")
 }
+
+/// Mints a submission key; one that tells its age, or a plain random one.
+pub fn mint(aged: bool) -> String {
+    if aged {
+        key::mint(clock::since_epoch(), rand::random())
+    } else {
+        format!("{:032x}", rand::random::<u128>())
+    }
+}
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -2,11 +2,15 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod config;
 pub mod deployment;
+pub mod ended;
 pub mod fault;
+pub mod inject;
 pub mod pairs;
 pub mod race;
 pub mod report;
+pub mod scene;
 pub mod tally;
 pub mod threads;
 pub mod workload;
@@ -17,33 +21,9 @@
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
-use crate::clock;
-use crate::decide::owner;
-use crate::key;
 use crate::standin::truth::Truth;
 
-/// What a demo is run with.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Whose sizes, latencies and workload.
-    pub deployment: deployment::Deployment,
-    /// How long work is offered.
-    pub duration: time::Duration,
-    /// Seeds the workload.
-    pub seed: u64,
-    /// Work that the largest customer offers, as a share of the capacity.
-    pub dominant_load: f64,
-    /// Work that all others offer together, as a share of the capacity.
-    pub small_load: f64,
-    /// Who goes next and where to.
-    pub policy: owner::Policy,
-    /// Whether callers use keys that tell their age.
-    pub aged_keys: bool,
-    /// Faults to inject while work is offered.
-    pub faults: Vec<fault::Fault>,
-    /// Whether progress is shown on the terminal.
-    pub progress: bool,
-}
+pub use config::Config;
 
 /// When the first fault is injected, as a share of the time that work is offered.
 const FIRST_FAULT: f64 = 0.25;
@@ -83,7 +63,7 @@
     };
     let caller = caller::open(target, tally.clone());
     let outage = cfg.duration.mul_f64(OUTAGE);
-    let scene = Arc::new(fault::Scene {
+    let scene = Arc::new(scene::Scene {
         cluster: Mutex::new(cluster),
         table: Arc::default(),
         caller: caller.clone(),
@@ -91,8 +71,8 @@
         outage: outage.clamp(MIN_OUTAGE, MAX_OUTAGE),
         tally: tally.clone(),
     });
-    fault::arm(&scene).await;
-    let faults = tokio::spawn(inject(cfg.clone(), scene.clone()));
+    scene::arm(&scene).await;
+    let faults = tokio::spawn(inject_all(cfg.clone(), scene.clone()));
     let took = offer(&cfg, caller, &tally).await;
     faults.await??;
     let mut report = tally.report(&cfg, &truth, took);
@@ -103,14 +83,14 @@
 }
 
 /// Injects the faults one after the other, and waits until all are over.
-async fn inject(cfg: Config, scene: Arc<fault::Scene>) -> anyhow::Result<()> {
+async fn inject_all(cfg: Config, scene: Arc<scene::Scene>) -> anyhow::Result<()> {
     let mut running = JoinSet::new();
     let mut pause = cfg.duration.mul_f64(FIRST_FAULT);
     for fault in &cfg.faults {
         tokio::time::sleep(pause).await;
         pause = NEXT_FAULT;
         scene.tally.injected();
-        running.spawn(fault::inject(*fault, scene.clone()));
+        running.spawn(inject::inject(*fault, scene.clone()));
     }
     while let Some(over) = running.join_next().await {
         over??;
@@ -153,12 +133,3 @@
     }
     begun.elapsed()
 }
-
-/// Mints a submission key; one that tells its age, or a plain random one.
-pub fn mint(aged: bool) -> String {
-    if aged {
-        key::mint(clock::since_epoch(), rand::random())
-    } else {
-        format!("{:032x}", rand::random::<u128>())
-    }
-}
--- a/src/demo/race.rs
+++ b/src/demo/race.rs
@@ -10,7 +10,7 @@
 
 use crate::class;
 use crate::demo::caller::Caller;
-use crate::demo::fault::Scene;
+use crate::demo::scene::Scene;
 use crate::demo::tally::Race;
 use crate::id;
 use crate::wire::http;
--- a/src/demo/tally.rs
+++ b/src/demo/tally.rs
@@ -8,10 +8,10 @@
 use hdrhistogram::Histogram;
 
 use crate::code;
-use crate::demo::caller::Ended;
+use crate::demo::config::Config;
+use crate::demo::ended::Ended;
 use crate::demo::report::{CustomerReport, Report};
 use crate::demo::workload::Arrival;
-use crate::demo::Config;
 use crate::id;
 use crate::standin::truth::Truth;
 
--- a/src/entry/agent_link.rs
+++ b/src/entry/agent_link.rs
@@ -1,27 +1,18 @@
-//! An owner's link to one agent: connected, watched in both directions, replaced.
+//! An owner's link to one agent, watched in both directions.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
-use anyhow::anyhow;
-use tokio::sync::{mpsc, Notify};
 use tokio::task::JoinHandle;
 
-use crate::backoff;
 use crate::decide::delivery;
 use crate::decide::order::Order;
-use crate::entry::cell::Cell;
-use crate::entry::scope::Scope;
 use crate::id;
 use crate::wire::agent;
 use crate::wire::link;
 use crate::wire::rows;
 
-/// Pauses between attempts to connect, growing from the first to the second.
-const MIN_PAUSE: time::Duration = time::Duration::from_millis(20);
-const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
-
 /// The link to one agent, and the loop that tends it.
 pub struct AgentLink {
     /// The agent's row.
@@ -83,7 +74,8 @@
 }
 
 impl LinkSender {
-    fn open(tx: link::Sender<Order>) -> LinkSender {
+    /// Opens the half that belongs to a new link.
+    pub fn open(tx: link::Sender<Order>) -> LinkSender {
         LinkSender {
             // JSON numbers of other languages hold 53 bits.
             link: rand::random::<u64>() >> 11,
@@ -103,81 +95,3 @@
         self.delivery.lock().expect("the delivery is whole")
     }
 }
-
-/// Keeps one agent linked, for as long as its row stands.
-pub async fn tend(cell: Weak<Cell>, id: id::AgentId, row: rows::Agent) {
-    let mut backoff = backoff::open(MIN_PAUSE, MAX_PAUSE);
-    loop {
-        let closed = Arc::new(Notify::new());
-        match connect(&cell, &id, &row, &closed).await {
-            Ok(()) => {
-                closed.notified().await;
-                backoff.reset();
-            }
-            Err(e) => log::debug!("agent {id} can't be reached: {e}"),
-        }
-        let Some(strong) = cell.upgrade() else {
-            return;
-        };
-        strong.link_lost(&id);
-        drop(strong);
-        tokio::time::sleep(backoff.pause()).await;
-    }
-}
-
-async fn connect(
-    cell: &Weak<Cell>,
-    id: &id::AgentId,
-    row: &rows::Agent,
-    closed: &Arc<Notify>,
-) -> anyhow::Result<()> {
-    let strong = cell.upgrade().ok_or_else(|| anyhow!("the cell is gone"))?;
-    let (tx, rx) = mpsc::unbounded_channel();
-    let sender = Arc::new(LinkSender::open(tx));
-    let hello = agent::Hello {
-        entry: strong.scope().entry.clone(),
-        cell: strong.scope().cell,
-        epoch: strong.scope().epoch,
-        link: sender.link,
-    };
-    let peer = link::Peer {
-        take: taker(cell.clone(), id.clone(), sender.clone()),
-        group: grouper(strong.scope(), sender.clone()),
-        sent: {
-            let messages = strong.scope().messages.clone();
-            Arc::new(move |down, bytes| messages.sent(agent::kind_down(&down.orders), bytes))
-        },
-        weigh: agent::weigh_order,
-        closed: {
-            let closed = closed.clone();
-            Box::new(move || closed.notify_one())
-        },
-    };
-    strong.connecting(id, sender);
-    drop(strong);
-    link::connect(&row.addr, hello, rx, peer).await
-}
-
-type Taker = Arc<dyn Fn(agent::Up) + Send + Sync>;
-
-fn taker(cell: Weak<Cell>, id: id::AgentId, sender: Arc<LinkSender>) -> Taker {
-    Arc::new(move |up| {
-        if let Some(cell) = cell.upgrade() {
-            cell.take(&id, &sender, up);
-        }
-    })
-}
-
-fn grouper(scope: &Scope, sender: Arc<LinkSender>) -> link::Group<Order, agent::Down> {
-    let (cell, epoch) = (scope.cell, scope.epoch);
-    Arc::new(move |orders| {
-        sender.delivery().send(time::Instant::now());
-        agent::Down {
-            link: sender.link,
-            cell,
-            epoch,
-            incarnation: sender.incarnation.load(Ordering::SeqCst),
-            orders,
-        }
-    })
-}
--- a/src/entry/cell.rs
+++ b/src/entry/cell.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, Weak};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time;
 
 use tokio::sync::{mpsc, oneshot, Notify};
@@ -10,13 +10,11 @@
 
 use crate::class;
 use crate::clock;
-use crate::controller::membership;
 use crate::decide::action::{self, Action};
 use crate::decide::notice;
 use crate::decide::order::Order;
 use crate::decide::owner;
-use crate::entry::agent_link::{self, AgentLink, LinkSender};
-use crate::entry::claiming;
+use crate::entry::agent_link::{AgentLink, LinkSender};
 use crate::entry::scope::Scope;
 use crate::entry::spans;
 use crate::id;
@@ -27,9 +25,6 @@
 use crate::wire::platform;
 use crate::wire::rows;
 
-/// How often what is due is done.
-const TICK: time::Duration = time::Duration::from_millis(25);
-
 /// Longest that acknowledgements wait for an order to ride with.
 const MAX_LAZY: time::Duration = time::Duration::from_secs(3);
 
@@ -56,8 +51,9 @@
     stopped: AtomicBool,
 }
 
-/// Spawns a cell whose epoch was just written to the table.
-pub fn spawn(scope: Scope) -> Arc<Cell> {
+/// Opens a cell whose epoch was just written to the table. Returns it with the claims that it asks to
+/// be written.
+pub fn open(scope: Scope) -> (Arc<Cell>, mpsc::UnboundedReceiver<action::Claim>) {
     let now = time::Instant::now();
     let wall = clock::since_epoch();
     let mut owner = owner::Owner::open(scope.epoch, scope.policy, scope.config.clone(), now, wall);
@@ -84,49 +80,7 @@
         tasks: Mutex::default(),
         stopped: AtomicBool::new(false),
     });
-    let spawned = vec![
-        tokio::spawn(membership::run(
-            cell.scope.table.clone(),
-            cell.scope.cell,
-            cell.members_changed.clone(),
-            Arc::new(membership_events(&cell)),
-        )),
-        tokio::spawn(claiming::write(Arc::downgrade(&cell), rx)),
-        tokio::spawn(tick(Arc::downgrade(&cell))),
-    ];
-    *cell.tasks.lock().expect("the cell's tasks are whole") = spawned;
-    cell
-}
-
-fn membership_events(cell: &Arc<Cell>) -> membership::Events {
-    let (first, current) = (Arc::downgrade(cell), Arc::downgrade(cell));
-    membership::Events {
-        first: Box::new(move |members| {
-            let Some(cell) = first.upgrade() else {
-                return;
-            };
-            let lives = membership::lives(members);
-            let lost = membership::lost(members);
-            cell.with(|owner, now| owner.members(now, lives, &lost));
-        }),
-        current: Box::new(move |members| {
-            if let Some(cell) = current.upgrade() {
-                cell.tend_members(members);
-            }
-        }),
-    }
-}
-
-async fn tick(cell: Weak<Cell>) {
-    let mut interval = tokio::time::interval(TICK);
-    loop {
-        interval.tick().await;
-        let Some(cell) = cell.upgrade() else {
-            return;
-        };
-        cell.with(owner::Owner::tick);
-        cell.tend_links();
-    }
+    (cell, rx)
 }
 
 impl Cell {
@@ -172,6 +126,52 @@
         f(&self.lock())
     }
 
+    /// Runs a task until the cell is stopped.
+    pub fn keep(&self, task: JoinHandle<()>) {
+        let mut tasks = self.tasks.lock().expect("the cell's tasks are whole");
+        tasks.push(task);
+    }
+
+    /// Is told where the members may have changed.
+    pub fn members_changed(&self) -> Arc<Notify> {
+        self.members_changed.clone()
+    }
+
+    /// Brings the links in line with the members; `link` starts the loop that keeps one.
+    pub fn tend_members(
+        &self,
+        members: &HashMap<id::AgentId, rows::Agent>,
+        link: impl Fn(&id::AgentId, &rows::Agent) -> JoinHandle<()>,
+    ) {
+        let mut links = self.links.lock().expect("the links are whole");
+        let mut gone = Vec::new();
+        links.retain(|id, link| {
+            let stays = members.get(id).is_some_and(|row| *row == link.row);
+            if !stays {
+                link.tending.abort();
+                gone.push(id.clone());
+            }
+            stays
+        });
+        for (id, row) in members {
+            if links.contains_key(id) {
+                continue;
+            }
+            let tending = link(id, row);
+            links.insert(id.clone(), AgentLink::open(row.clone(), tending));
+        }
+        drop(links);
+        let left: Vec<_> = gone
+            .into_iter()
+            .filter(|id| !members.contains_key(id))
+            .collect();
+        self.with(|owner, now| {
+            for id in &left {
+                owner.lose(now, id);
+            }
+        });
+    }
+
     /// Stops owning: links close, and everybody who waits is sent to look for the new owner.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
@@ -280,7 +280,7 @@
 
     /// Closes links that went silent, in either direction, and sends acknowledgements that found
     /// nothing to ride with.
-    fn tend_links(&self) {
+    pub fn tend_links(&self) {
         let now = time::Instant::now();
         let mut links = self.links.lock().expect("the links are whole");
         for link in links.values_mut() {
@@ -300,41 +300,6 @@
         }
     }
 
-    /// Brings the links in line with the members.
-    fn tend_members(self: &Arc<Self>, members: &HashMap<id::AgentId, rows::Agent>) {
-        let mut links = self.links.lock().expect("the links are whole");
-        let mut gone = Vec::new();
-        links.retain(|id, link| {
-            let stays = members.get(id).is_some_and(|row| *row == link.row);
-            if !stays {
-                link.tending.abort();
-                gone.push(id.clone());
-            }
-            stays
-        });
-        for (id, row) in members {
-            if links.contains_key(id) {
-                continue;
-            }
-            let tending = tokio::spawn(agent_link::tend(
-                Arc::downgrade(self),
-                id.clone(),
-                row.clone(),
-            ));
-            links.insert(id.clone(), AgentLink::open(row.clone(), tending));
-        }
-        drop(links);
-        let left: Vec<_> = gone
-            .into_iter()
-            .filter(|id| !members.contains_key(id))
-            .collect();
-        self.with(|owner, now| {
-            for id in &left {
-                owner.lose(now, id);
-            }
-        });
-    }
-
     /// Takes one message of an agent.
     pub fn take(&self, id: &id::AgentId, tx: &LinkSender, up: agent::Up) {
         if let Some(link) = self.links.lock().expect("the links are whole").get_mut(id) {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -1,21 +1,20 @@
 //! What the parts of an entry share, and how a submission finds the owner of its cell.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time;
 
 use compact_str::CompactString;
 use tokio::sync::{oneshot, Notify};
-use tokio::task::JoinHandle;
 
 use crate::code;
 use crate::controller::config;
 use crate::controller::ownership;
 use crate::count;
-use crate::entry::cell::{self, Cell, Waiter};
-use crate::entry::events;
-use crate::entry::inward;
-use crate::entry::peers::{self, Peers};
+use crate::entry::cell::{Cell, Waiter};
+use crate::entry::door::Door;
+use crate::entry::owning;
+use crate::entry::peers::Peers;
 use crate::entry::scope;
 use crate::entry::Config;
 use crate::id;
@@ -68,13 +67,14 @@
 }
 
 impl Core {
-    /// Opens the shared part; [`Core::spawn`] starts its loops.
+    /// Opens the shared part; `events` makes of the ownership's events what the entry does about them.
     pub fn open(
         cfg: Config,
         peer_addr: CompactString,
         platform: platform::Platform,
         messages: count::Messages,
-        door: inward::Door,
+        door: Door,
+        events: impl FnOnce(&Weak<Core>) -> ownership::Events,
     ) -> Arc<Core> {
         Arc::new_cyclic(|core| {
             let candidate = ownership::Candidate {
@@ -83,7 +83,7 @@
                 addr: peer_addr,
             };
             let table = platform.table.clone();
-            let events = events::ownership(core);
+            let events = events(core);
             let nowhere = || Mutex::new(Place::Nowhere);
             Core {
                 config: config::open(table.clone()),
@@ -104,15 +104,6 @@
         })
     }
 
-    /// Starts the loops.
-    pub fn spawn(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
-        vec![
-            tokio::spawn(self.config.clone().run(events::config(self))),
-            tokio::spawn(self.ownership.clone().run()),
-            tokio::spawn(peers::tend(Arc::downgrade(self))),
-        ]
-    }
-
     /// Who owns a cell.
     pub fn place(&self, cell: id::Cell) -> Place {
         self.places[usize::from(cell)]
@@ -254,7 +245,7 @@
         log::info!("this entry owns cell {cell} at epoch {epoch}");
         let ownership = Arc::downgrade(&self.ownership);
         let proving = ownership.clone();
-        let owner = cell::spawn(scope::Scope {
+        let owner = owning::spawn(scope::Scope {
             cell,
             epoch,
             revision: won.revision,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,11 +4,15 @@
 mod cell;
 mod claiming;
 mod core;
+mod door;
 mod events;
 mod http;
 mod inward;
+mod linking;
 mod offload;
 pub mod operate;
+mod owning;
+mod peering;
 mod peers;
 mod scope;
 mod spans;
@@ -22,6 +26,7 @@
 use tokio::task::JoinHandle;
 
 use self::core::Core;
+use self::door::Door;
 use crate::count;
 use crate::decide::owner;
 use crate::id;
@@ -66,17 +71,24 @@
     platform: platform::Platform,
     messages: count::Messages,
 ) -> anyhow::Result<Entry> {
-    let door = inward::Door::default();
-    let service = inward::service(&door, cfg.id.clone(), messages.clone());
+    let (door, behind) = (Door::default(), inward::Behind::default());
+    let service = inward::service(&door, &behind, cfg.id.clone(), messages.clone());
     let peers = link::bind(cfg.peer_addr, service).await?;
     let addr = match &cfg.advertise {
         Some(addr) => addr.clone(),
         None => peers.addr().to_compact_string(),
     };
-    let core = Core::open(cfg.clone(), addr, platform, messages, door.clone());
-    door.open(&core);
+    let core = Core::open(
+        cfg.clone(),
+        addr,
+        platform,
+        messages,
+        door,
+        events::ownership,
+    );
+    behind.put(&core);
     let http = http::bind(cfg.http_addr, core.clone()).await?;
-    let tasks = core.spawn();
+    let tasks = spawn(&core);
     Ok(Entry {
         core,
         http,
@@ -85,6 +97,14 @@
     })
 }
 
+fn spawn(core: &Arc<Core>) -> Vec<JoinHandle<()>> {
+    vec![
+        tokio::spawn(core.config.clone().run(events::config(core))),
+        tokio::spawn(core.ownership.clone().run()),
+        tokio::spawn(peering::tend(Arc::downgrade(core))),
+    ]
+}
+
 impl Entry {
     /// Where callers and operators connect.
     pub fn http_addr(&self) -> net::SocketAddr {
--- a/tests/fault_leave.rs
+++ b/tests/fault_leave.rs
@@ -8,6 +8,7 @@
 use lovagemill::demo::caller;
 use lovagemill::demo::cluster::{self, Death};
 use lovagemill::demo::deployment;
+use lovagemill::demo::ended::Ended;
 use lovagemill::demo::tally;
 use lovagemill::demo::workload::Arrival;
 use lovagemill::standin::truth::Truth;
@@ -51,9 +52,9 @@
         tasks: vec![20; 8],
         value: 1,
     };
-    let key = demo::mint(true);
+    let key = demo::caller::mint(true);
     let (ended, _) = caller.run(&arrival, &key).await;
-    assert!(matches!(ended, caller::Ended::Complete), "{ended:?}");
+    assert!(matches!(ended, Ended::Complete), "{ended:?}");
     let agent = cluster.workers[0].agent.take();
     agent.expect("the agent runs").stop().await;
     let owner = cluster.owner().expect("an entry owns the cell");
@@ -61,7 +62,7 @@
     let (ended, _) = caller.run(&arrival, &key).await;
     assert_eq!(truth.started_twice(), []);
     match ended {
-        caller::Ended::Refused(refusal) => assert!(refusal.unknown, "{refusal:?}"),
+        Ended::Refused(refusal) => assert!(refusal.unknown, "{refusal:?}"),
         other => panic!("nobody is left who knows the answer, and yet: {other:?}"),
     }
 }
