A listing that was overtaken is passed over

Cause: a renewal that is late sends a second listing beside the one that waits; their answers may come in the other order. Ruled out: a lost hold of a living run (its job was complete, no second start in its log). Change: a listing with an older clock of the same life is passed over.

--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -117,6 +117,7 @@
         // What is known of the clock and the lease is of the life before.
         self.lease = Lease::open(self.bounds);
         self.acknowledged = 0;
+        self.newest_ms = 0;
         self.reached = false;
         self.update(now, backend);
     }
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -171,6 +171,8 @@
     /// The last end that was taken in from this life of the backend server. It is acknowledged only
     /// then: an end that is acknowledged isn't listed again.
     acknowledged: u64,
+    /// The backend server's clock in the newest listing of this life.
+    newest_ms: u64,
     backend: Backend,
     /// A life that may be there, while it is checked.
     candidate: Option<lives::Candidate>,
@@ -202,6 +204,7 @@
             bounds,
             lease: Lease::open(bounds),
             acknowledged: 0,
+            newest_ms: 0,
             backend: Backend::default(),
             candidate: None,
             checks: 0,
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -121,7 +121,14 @@
     }
 
     /// Takes in a listing that was asked for at `sent`, of the life that is known.
+    ///
+    /// Two may be under way at a time, and the earlier one may come in last. What it has at work may
+    /// have ended since, and its clock would make the lease seem longer than what was granted.
     pub fn listed(&mut self, now: time::Duration, sent: time::Duration, listing: Listing) {
+        if listing.clock_ms < self.newest_ms {
+            return;
+        }
+        self.newest_ms = listing.clock_ms;
         self.lease.heard(sent, now, listing.clock_ms);
         self.reach(now, true);
         self.acknowledged = self.acknowledged.max(listing.last_end);
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -287,6 +287,25 @@
     assert!(slots.renew(ms(START + 3)).is_some());
 }
 
+/// On-call engineers read that a run was stopped which nobody had asked for, though its job is
+/// complete. Of two listings under way at a time the later one told of the run's end; the earlier one,
+/// which still had it at work, came in after that.
+#[test]
+fn an_overtaken_listing_is_passed_over() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    let mut later = listing(START + 20, &[]);
+    later.ended.push((run(0, 1), How::Done));
+    slots.listed(ms(START + 21), ms(START + 5), later);
+    assert_eq!(ends(&mut slots, START + 21), [(run(0, 1), How::Done)]);
+    let earlier = listing(START + 10, &[run(0, 1)]);
+    slots.listed(ms(START + 22), ms(START + 4), earlier);
+    assert_eq!(slots.orders(), []);
+    let still = listing(START + 30, &[run(0, 1)]);
+    slots.listed(ms(START + 31), ms(START + 25), still);
+    assert_eq!(slots.orders(), [stop(run(0, 1))], "it does run on");
+}
+
 /// The answer to a check comes after the life that gave it has died and the next was taken up.
 #[test]
 fn a_late_answer_to_a_check_brings_nothing_back() {
