lovagemill losses: what became of the jobs of some logs, by class and cause

Every answered job names its slack now. A late job counts for the first of failed attempts, a move, runs lost or bounced, the queue, the run. Test: tests/losses.rs. The reading of logs is shared with explain (cli/logs.rs).

--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod config;
 pub mod explain;
+pub mod losses;
 pub mod status;
 pub mod submit;
 pub mod work;
@@ -74,6 +75,12 @@
     /// are what the processes believed of its agents around that time. docs/OPERATIONS.md reads
     /// three such stories.
     Explain(explain::ExplainOpts),
+    /// Tell what became of the best-effort jobs of some logs, by class and cause
+    ///
+    /// A late job counts for the first of these that holds: failed attempts, a move off a slow worker,
+    /// runs that were lost or came back, the queue, the run itself. Jobs that an entry took with it
+    /// when it died leave no line.
+    Losses(losses::LossesOpts),
     /// Drain an entry: it hands over, answers what is in flight, and stops
     Drain(EntryOpts),
 }
@@ -125,6 +132,7 @@
         Command::Config(command) => config::run(command).await,
         Command::Status(opts) => status::run(&opts).await,
         Command::Explain(opts) => explain::run(&opts),
+        Command::Losses(opts) => losses::run(&opts),
         Command::Drain(entry) => drain(&entry).await,
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 pub mod command;
 pub mod entry;
 pub mod failure;
+pub mod logs;
 pub mod settings;
 pub mod standin;
 
--- a/src/decide/besteffort/board/endings.rs
+++ b/src/decide/besteffort/board/endings.rs
@@ -137,7 +137,7 @@
         log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(), places = places.as_str(),
             outcome = outcome.name(), why = why, tasks = job.ask.tasks, starts = job.starts,
             failed = failed, moved = job.moved, estimate_ms = ms(job.estimate),
-            waited_ms = ms(waited), took_ms = ms(took),
+            slack_ms = ms(job.latest.saturating_sub(job.arrived)), waited_ms = ms(waited), took_ms = ms(took),
             queued = self.queue.len(), agents = self.agents.len(); "job answered");
     }
 }
