The seeded search asks whether backend servers that came back get work

Two runs at a time were all that it looked for; an agent that believed in a dead life also gave its healthy backend server no work for good. Faults have names in place of numbers and a file of their own; the order of the plays is as before.

--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -45,6 +45,24 @@
     assert!(found.is_empty(), "with naps: {found:?}");
 }
 
+/// A healthy backend server gets no work for good. It has crashed and come back, and its agent believes
+/// in another life of it.
+#[test]
+fn backend_servers_that_came_back_get_work() {
+    let idle = |guards| {
+        let seeds = 0..SEEDS;
+        let found = seeds.filter_map(|seed| World::open(seed, guards, Faults::lives()).idle());
+        found.collect::<Vec<String>>()
+    };
+    let found = idle(Guards::default());
+    assert!(found.is_empty(), "{found:?}");
+    let believes_all = Guards {
+        checks_life: false,
+        ..Guards::default()
+    };
+    assert!(!idle(believes_all).is_empty(), "the search finds it");
+}
+
 /// The calm run must do work, or the search would find nothing in an empty world.
 #[test]
 fn without_faults_nearly_all_jobs_are_done() {
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -1,5 +1,7 @@
 //! The world of a play: processes with clocks, freezes and lives; events in order of time.
 
+mod faults;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::Duration;
@@ -16,6 +18,8 @@
 use rand::{Rng, SeedableRng};
 
 use crate::net::{Line, Link};
+pub use faults::Faults;
+
 use crate::server::{Clock, Ms, NoAnswer, Server, CLOCK_ERROR};
 
 const ENTRIES: usize = 2;
@@ -65,50 +69,6 @@
     }
 }
 
-/// How often faults come: one in so many chances.
-#[derive(Clone, Copy, Debug)]
-pub struct Faults {
-    /// A process fault or a link fault comes about every so many milliseconds; never if 0.
-    every: Ms,
-    /// Orders without an answer, in a hundred.
-    unanswered: u32,
-    /// Longest that a fault lasts.
-    longest: Ms,
-    /// Which faults come, by the numbers in [`World::fault`].
-    kinds: &'static [u32],
-}
-
-impl Default for Faults {
-    fn default() -> Faults {
-        Faults {
-            every: 350,
-            unanswered: 6,
-            longest: 4_000,
-            kinds: &[0, 1, 2, 3, 4, 5, 6, 7, 8],
-        }
-    }
-}
-
-impl Faults {
-    pub fn none() -> Faults {
-        Faults {
-            every: 0,
-            unanswered: 0,
-            ..Faults::default()
-        }
-    }
-
-    /// Agents that are suspended again and again for less than a lease, and entries that die.
-    pub fn naps() -> Faults {
-        Faults {
-            every: 120,
-            longest: 620,
-            kinds: &[1, 1, 1, 2],
-            ..Faults::default()
-        }
-    }
-}
-
 /// A process: when it acts again, and how much time its steady clock has missed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Process {
@@ -269,6 +229,22 @@
         self.double()
     }
 
+    /// Plays to the end; tells of an agent that gives its backend server no work.
+    pub fn idle(mut self) -> Option<String> {
+        self.run();
+        let idle = self.agents.iter().find(|agent| {
+            let known = agent.slots.backend();
+            !known.takes_work || known.instance != agent.server.instance()
+        });
+        idle.map(|agent| {
+            format!(
+                "{:?}, not {}",
+                agent.slots.backend(),
+                agent.server.instance()
+            )
+        })
+    }
+
     /// Plays to the end; jobs that were done, and all.
     pub fn count(mut self) -> (usize, usize) {
         self.run();
@@ -820,118 +796,6 @@
             self.flush_entry(e, Vec::new());
         }
     }
-
-    fn fault(&mut self) {
-        let pause = self.rng.random_range(1..self.faults.every * 2);
-        self.at(self.now + pause, Event::Fault);
-        let (e, a) = (
-            self.rng.random_range(0..ENTRIES),
-            self.rng.random_range(0..AGENTS),
-        );
-        let long = self.rng.random_range(20..self.faults.longest);
-        let kind = self.rng.random_range(0..self.faults.kinds.len());
-        match self.faults.kinds[kind] {
-            0 => self.freeze_entry(e, long),
-            1 => self.freeze_agent(a, long),
-            2 => self.kill_entry(e, long),
-            3 => self.kill_agent(a, long / 4),
-            4 => self.hold(e, a, long, true, true),
-            5 => self.hold(e, a, long, true, false),
-            6 => self.hold(e, a, long, false, true),
-            7 => self.crash_server(a),
-            _ => self.reset(e, a),
-        }
-    }
-
-    fn freeze_entry(&mut self, e: usize, long: Ms) {
-        let process = &mut self.entries[e].process;
-        if process.asleep_until <= self.now {
-            process.asleep_until = self.now + long;
-            process.missed += long;
-            let (now, missed) = (self.now + long, self.clock(self.entries[e].process));
-            let woken = missed.max(ms(now));
-            self.entries[e].board.stood_still(woken);
-        }
-    }
-
-    fn freeze_agent(&mut self, a: usize, long: Ms) {
-        let process = &mut self.agents[a].process;
-        if process.asleep_until <= self.now {
-            process.asleep_until = self.now + long;
-            process.missed += long;
-        }
-    }
-
-    /// An entry dies; its callers see their connections break and submit again elsewhere.
-    fn kill_entry(&mut self, e: usize, long: Ms) {
-        let life = self.entries[e].process.life + 1;
-        self.entries[e] = self.new_entry();
-        self.entries[e].process.life = life;
-        self.entries[e].process.asleep_until = self.now + long;
-        for a in 0..AGENTS {
-            self.reset(e, a);
-        }
-        let again = self.now + lease::RESUBMIT_AFTER.as_millis() as u64;
-        for index in 0..self.jobs.len() {
-            let job = &mut self.jobs[index];
-            if job.entry == e && !job.over && !job.away {
-                job.tries += 1;
-                job.away = true;
-                self.at(again, Event::Submit(index));
-            }
-        }
-        self.at(self.now + long, Event::EntryTick(e, life));
-    }
-
-    /// An agent dies; the backend server works on under its lease.
-    fn kill_agent(&mut self, a: usize, long: Ms) {
-        let life = self.agents[a].process.life + 1;
-        for e in 0..ENTRIES {
-            if self.links.get(&(e, a)).is_some_and(|link| link.entry_open) {
-                self.entry_lost(e, a);
-            }
-            if let Some(link) = self.links.get_mut(&(e, a)) {
-                link.agent_open = false;
-            }
-        }
-        let next = Server::open(a, self.new_clock(), self.guards.refuses_late);
-        let server = std::mem::replace(&mut self.agents[a].server, next);
-        self.agents[a] = self.new_agent(server);
-        self.agents[a].process.life = life;
-        self.agents[a].process.asleep_until = self.now + long;
-        self.agents[a].born = self.now + long;
-        self.wake_agent(a);
-    }
-
-    /// A backend server crashes and is there again at once; its agent hears of it with the next
-    /// heartbeat.
-    fn crash_server(&mut self, a: usize) {
-        let clock = self.new_clock();
-        self.agents[a].server.crash(self.now, clock);
-    }
-
-    fn hold(&mut self, e: usize, a: usize, long: Ms, to_agent: bool, to_entry: bool) {
-        if let Some(link) = self.links.get_mut(&(e, a)) {
-            if to_agent {
-                link.held.0 = self.now + long;
-            }
-            if to_entry {
-                link.held.1 = self.now + long;
-            }
-        }
-    }
-
-    fn reset(&mut self, e: usize, a: usize) {
-        let open = self.links.get(&(e, a)).is_some_and(|link| link.entry_open);
-        if open {
-            self.entry_lost(e, a);
-        }
-        if let Some(link) = self.links.get_mut(&(e, a)) {
-            link.number = 0;
-            link.agent_open = false;
-        }
-        self.at(self.now + 100, Event::Connect(e, a));
-    }
 }
 
 fn backend(instance: String) -> Backend {
--- /dev/null
+++ b/tests/besteffort_sim/world/faults.rs
@@ -0,0 +1,214 @@
+//! The faults of a play, and what each does to the world.
+
+use lovagemill::decide::besteffort::lease;
+use rand::Rng;
+
+use crate::server::{Ms, Server};
+use crate::world::{ms, Event, World, AGENTS, END, ENTRIES, PATIENCE};
+
+/// What may go wrong, at an entry, an agent, a backend server or a link.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    FreezeEntry,
+    FreezeAgent,
+    KillEntry,
+    KillAgent,
+    /// Lines are held back both ways.
+    Cut,
+    CutToAgent,
+    CutToEntry,
+    CrashServer,
+    Reset,
+}
+
+const ALL: [Kind; 9] = [
+    Kind::FreezeEntry,
+    Kind::FreezeAgent,
+    Kind::KillEntry,
+    Kind::KillAgent,
+    Kind::Cut,
+    Kind::CutToAgent,
+    Kind::CutToEntry,
+    Kind::CrashServer,
+    Kind::Reset,
+];
+
+/// How often faults come: one in so many chances.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// A process fault or a link fault comes about every so many milliseconds; never if 0.
+    pub(super) every: Ms,
+    /// Orders without an answer, in a hundred.
+    pub(super) unanswered: u32,
+    /// Longest that a fault lasts.
+    longest: Ms,
+    /// Which faults come; one that stands there twice comes twice as often.
+    kinds: &'static [Kind],
+    /// When the last one may begin.
+    pub(super) until: Ms,
+}
+
+impl Default for Faults {
+    fn default() -> Faults {
+        Faults {
+            every: 350,
+            unanswered: 6,
+            longest: 4_000,
+            kinds: &ALL,
+            until: END,
+        }
+    }
+}
+
+impl Faults {
+    pub fn none() -> Faults {
+        Faults {
+            every: 0,
+            unanswered: 0,
+            ..Faults::default()
+        }
+    }
+
+    /// Backend servers that crash and agents that die, until some seconds before the end.
+    pub fn lives() -> Faults {
+        Faults {
+            every: 120,
+            kinds: &[Kind::KillAgent, Kind::CrashServer, Kind::CrashServer],
+            until: END - PATIENCE,
+            ..Faults::default()
+        }
+    }
+
+    /// Agents that are suspended again and again for less than a lease, and entries that die.
+    pub fn naps() -> Faults {
+        Faults {
+            every: 120,
+            longest: 620,
+            kinds: &[
+                Kind::FreezeAgent,
+                Kind::FreezeAgent,
+                Kind::FreezeAgent,
+                Kind::KillEntry,
+            ],
+            ..Faults::default()
+        }
+    }
+}
+
+impl World {
+    /// One fault now, and the next one later.
+    pub(super) fn fault(&mut self) {
+        if self.now > self.faults.until {
+            return;
+        }
+        let pause = self.rng.random_range(1..self.faults.every * 2);
+        self.at(self.now + pause, Event::Fault);
+        let (e, a) = (
+            self.rng.random_range(0..ENTRIES),
+            self.rng.random_range(0..AGENTS),
+        );
+        let long = self.rng.random_range(20..self.faults.longest);
+        let kind = self.rng.random_range(0..self.faults.kinds.len());
+        match self.faults.kinds[kind] {
+            Kind::FreezeEntry => self.freeze_entry(e, long),
+            Kind::FreezeAgent => self.freeze_agent(a, long),
+            Kind::KillEntry => self.kill_entry(e, long),
+            Kind::KillAgent => self.kill_agent(a, long / 4),
+            Kind::Cut => self.hold(e, a, long, true, true),
+            Kind::CutToAgent => self.hold(e, a, long, true, false),
+            Kind::CutToEntry => self.hold(e, a, long, false, true),
+            Kind::CrashServer => self.crash_server(a),
+            Kind::Reset => self.reset(e, a),
+        }
+    }
+
+    fn freeze_entry(&mut self, e: usize, long: Ms) {
+        let process = &mut self.entries[e].process;
+        if process.asleep_until <= self.now {
+            process.asleep_until = self.now + long;
+            process.missed += long;
+            let (now, missed) = (self.now + long, self.clock(self.entries[e].process));
+            let woken = missed.max(ms(now));
+            self.entries[e].board.stood_still(woken);
+        }
+    }
+
+    fn freeze_agent(&mut self, a: usize, long: Ms) {
+        let process = &mut self.agents[a].process;
+        if process.asleep_until <= self.now {
+            process.asleep_until = self.now + long;
+            process.missed += long;
+        }
+    }
+
+    /// An entry dies; its callers see their connections break and submit again elsewhere.
+    fn kill_entry(&mut self, e: usize, long: Ms) {
+        let life = self.entries[e].process.life + 1;
+        self.entries[e] = self.new_entry();
+        self.entries[e].process.life = life;
+        self.entries[e].process.asleep_until = self.now + long;
+        for a in 0..AGENTS {
+            self.reset(e, a);
+        }
+        let again = self.now + lease::RESUBMIT_AFTER.as_millis() as u64;
+        for index in 0..self.jobs.len() {
+            let job = &mut self.jobs[index];
+            if job.entry == e && !job.over && !job.away {
+                job.tries += 1;
+                job.away = true;
+                self.at(again, Event::Submit(index));
+            }
+        }
+        self.at(self.now + long, Event::EntryTick(e, life));
+    }
+
+    /// An agent dies; the backend server works on under its lease.
+    fn kill_agent(&mut self, a: usize, long: Ms) {
+        let life = self.agents[a].process.life + 1;
+        for e in 0..ENTRIES {
+            if self.links.get(&(e, a)).is_some_and(|link| link.entry_open) {
+                self.entry_lost(e, a);
+            }
+            if let Some(link) = self.links.get_mut(&(e, a)) {
+                link.agent_open = false;
+            }
+        }
+        let next = Server::open(a, self.new_clock(), self.guards.refuses_late);
+        let server = std::mem::replace(&mut self.agents[a].server, next);
+        self.agents[a] = self.new_agent(server);
+        self.agents[a].process.life = life;
+        self.agents[a].process.asleep_until = self.now + long;
+        self.agents[a].born = self.now + long;
+        self.wake_agent(a);
+    }
+
+    /// A backend server crashes and is there again at once; its agent hears of it with the next
+    /// heartbeat.
+    fn crash_server(&mut self, a: usize) {
+        let clock = self.new_clock();
+        self.agents[a].server.crash(self.now, clock);
+    }
+
+    fn hold(&mut self, e: usize, a: usize, long: Ms, to_agent: bool, to_entry: bool) {
+        if let Some(link) = self.links.get_mut(&(e, a)) {
+            if to_agent {
+                link.held.0 = self.now + long;
+            }
+            if to_entry {
+                link.held.1 = self.now + long;
+            }
+        }
+    }
+
+    fn reset(&mut self, e: usize, a: usize) {
+        let open = self.links.get(&(e, a)).is_some_and(|link| link.entry_open);
+        if open {
+            self.entry_lost(e, a);
+        }
+        if let Some(link) = self.links.get_mut(&(e, a)) {
+            link.number = 0;
+            link.agent_open = false;
+        }
+        self.at(self.now + 100, Event::Connect(e, a));
+    }
+}
