--- a/tests/besteffort_sim/server.rs
+++ b/tests/besteffort_sim/server.rs
@@ -61,7 +61,9 @@
     refuses_late: bool,
     running: BTreeMap<Run, (Ms, Ms)>,
     closed: BTreeMap<(String, u32), u64>,
-    ended: Vec<(Run, How)>,
+    /// Numbered from 1 in each life, until they are acknowledged.
+    ended: Vec<(u64, Run, How)>,
+    last_end: u64,
     pub seen: Vec<Seen>,
 }
 
@@ -78,6 +80,7 @@
             running: BTreeMap::new(),
             closed: BTreeMap::new(),
             ended: Vec::new(),
+            last_end: 0,
             seen: Vec::new(),
         }
     }
@@ -96,6 +99,7 @@
         self.token = 0;
         self.closed.clear();
         self.ended.clear();
+        self.last_end = 0;
     }
 
     fn accepts(&mut self, now: Ms, life: &str, token: u64) -> Result<(), NoAnswer> {
@@ -134,7 +138,8 @@
             ended: at,
         });
         self.close(run);
-        self.ended.push((run.clone(), how));
+        self.last_end += 1;
+        self.ended.push((self.last_end, run.clone(), how));
     }
 
     fn close(&mut self, run: &Run) {
@@ -189,16 +194,22 @@
         life: &str,
         token: u64,
         until: Option<Ms>,
+        acknowledged: u64,
     ) -> Result<Listing, NoAnswer> {
         self.accepts(now, life, token)?;
+        self.ended.retain(|(number, ..)| *number > acknowledged);
         if let Some(until) = until {
             self.lease = self.lease.max(until);
         }
         Ok(Listing {
             clock_ms: self.clock.at(now),
             running: self.running.keys().map(|run| (run.clone(), 10)).collect(),
-            ended: std::mem::take(&mut self.ended),
-            last_end: 0,
+            ended: self
+                .ended
+                .iter()
+                .map(|(_, run, how)| (run.clone(), *how))
+                .collect(),
+            last_end: self.ended.last().map_or(0, |(number, ..)| *number),
         })
     }
 
--- a/tests/besteffort_sim/world/agents.rs
+++ b/tests/besteffort_sim/world/agents.rs
@@ -60,7 +60,9 @@
     /// A listing that is answered at once; some are lost.
     pub(super) fn ask_for_list(&mut self, a: usize) {
         let now = self.clock(self.agents[a].process);
-        let (lost, delay) = (self.is_unanswered(), self.rng.random_range(0..3));
+        let (lost, late) = (self.is_unanswered(), self.is_unanswered());
+        // One that is late may come in after the next.
+        let delay = self.rng.random_range(0..if late { 300 } else { 3 });
         let agent = &mut self.agents[a];
         let until = agent.clean.then(|| agent.slots.renew(now)).flatten();
         if lost {
@@ -68,7 +70,8 @@
         }
         let (life, at) = (agent.process.life, self.now);
         let of = agent.slots.instance();
-        let listing = agent.server.list(at, &of, life, until);
+        let acknowledged = agent.slots.acknowledged();
+        let listing = agent.server.list(at, &of, life, until, acknowledged);
         let sent = now.as_millis() as u64;
         self.at(at + delay, Event::Listed(a, life, of, sent, listing));
     }
@@ -109,7 +112,7 @@
         };
         let agent = &mut self.agents[a];
         let (life, sent) = (agent.process.life, now.as_millis() as u64);
-        let answer = agent.server.list(self.now, &check.life, life, None);
+        let answer = agent.server.list(self.now, &check.life, life, None, 0);
         let (checked, delay) = match answer {
             _ if lost => (Checked::Silent, 200),
             Ok(listing) => (Checked::There(listing), delay),
