A life that leaves while it is checked gets no work

Cause: a deregistration named a life that was still being asked whether it is there; its earlier word, "ready", was taken up after it. Found by reading the change. Test: besteffort_slots, failed before.

--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -138,6 +138,9 @@
             self.backend.takes_work = false;
             self.pump(now);
         }
+        // Its earlier word, which is still being checked, would bring it back as one that takes work.
+        self.candidate
+            .take_if(|known| known.backend.instance == instance);
     }
 
     /// Another life of the backend server has answered; nothing of the one that is known runs.
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -306,6 +306,19 @@
     assert_eq!(slots.orders(), [stop(run(0, 1))], "it does run on");
 }
 
+/// New work reaches a backend server that has left. It said so while the agent, which had just
+/// started, was still asking whether that life was there; the earlier word, "ready", was taken up.
+#[test]
+fn a_life_that_leaves_while_it_is_checked_gets_nothing() {
+    let mut slots = Slots::open(Bounds::default());
+    let at = ms(START);
+    let check = slots.announced(at, backend("life")).expect("unknown");
+    slots.left(at, "life");
+    let there = Checked::There(listing(START, &[]));
+    slots.checked(at, at, &check, there);
+    assert!(!slots.backend().takes_work);
+}
+
 /// The answer to a check comes after the life that gave it has died and the next was taken up.
 #[test]
 fn a_late_answer_to_a_check_brings_nothing_back() {
