Plain names: links of other entries in place of a door, when something was last seen

Entry's Door is InwardLinks (inward_links.rs), Behind is CoreRef, is_connecting, which also began an attempt, is begins_connecting; the metrics' Seen is LastSeen beside the entry's own Seen. No change in behaviour.

--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -12,7 +12,7 @@
 use crate::controller::ownership;
 use crate::count;
 use crate::entry::cell::{Cell, Waiter};
-use crate::entry::door::Door;
+use crate::entry::inward_links::InwardLinks;
 use crate::entry::owning;
 use crate::entry::peers::Peers;
 use crate::entry::scope;
@@ -73,7 +73,7 @@
         peer_addr: CompactString,
         platform: platform::Platform,
         messages: count::Messages,
-        door: Door,
+        inward: InwardLinks,
         events: impl FnOnce(&Weak<Core>) -> ownership::Events,
     ) -> Arc<Core> {
         Arc::new_cyclic(|core| {
@@ -88,7 +88,7 @@
             Core {
                 config: config::open(table.clone()),
                 ownership: ownership::open(table, candidate, cfg.cells, events),
-                peers: Peers::open(door),
+                peers: Peers::open(inward),
                 places: std::iter::repeat_with(nowhere)
                     .take(cfg.cells.into())
                     .collect(),
--- a/src/entry/inward.rs
+++ b/src/entry/inward.rs
@@ -5,7 +5,7 @@
 use crate::count;
 use crate::entry::cell::Waiter;
 use crate::entry::core::{Core, Place};
-use crate::entry::door::{Door, Inward};
+use crate::entry::inward_links::{Inward, InwardLinks};
 use crate::id;
 use crate::key;
 use crate::wire::link;
@@ -14,9 +14,9 @@
 /// The core that answers other entries; clones share it. The listener can be bound before the core
 /// is there.
 #[derive(Clone, Default)]
-pub struct Behind(Arc<OnceLock<Weak<Core>>>);
+pub struct CoreRef(Arc<OnceLock<Weak<Core>>>);
 
-impl Behind {
+impl CoreRef {
     /// Puts the core behind the listener.
     pub fn put(&self, core: &Arc<Core>) {
         // It is put once, when the entry opens.
@@ -30,13 +30,13 @@
 
 /// The service behind an entry's listener for other entries.
 pub fn service(
-    door: &Door,
-    behind: &Behind,
+    links: &InwardLinks,
+    core_ref: &CoreRef,
     entry: id::EntryId,
     messages: count::Messages,
 ) -> link::Service<peer::Hello, Returned, peer::Down, peer::Up> {
-    let (greeting, taking) = (door.clone(), door.clone());
-    let (greeter, taker) = (behind.clone(), behind.clone());
+    let (greeting, taking) = (links.clone(), links.clone());
+    let (greeter, taker) = (core_ref.clone(), core_ref.clone());
     link::Service {
         greet: Arc::new(move |hello, tx| greet(&greeting, &greeter, &entry, hello, tx)),
         take: Arc::new(move |down: peer::Down| {
@@ -51,8 +51,8 @@
 }
 
 fn greet(
-    door: &Door,
-    behind: &Behind,
+    links: &InwardLinks,
+    core_ref: &CoreRef,
     entry: &id::EntryId,
     hello: peer::Hello,
     tx: link::Sender<Returned>,
@@ -61,11 +61,11 @@
     let inward = Inward::open(link, tx);
     // The entry learns at once what this one knows of the watched rows.
     let _ = inward.tx.send(Returned::Heartbeat);
-    door.admit(hello.entry, inward.clone());
-    let (behind, entry) = (behind.clone(), entry.clone());
+    links.admit(hello.entry, inward.clone());
+    let (core_ref, entry) = (core_ref.clone(), entry.clone());
     Arc::new(move |items: Vec<Returned>| {
         let received = inward.spoke();
-        let core = behind.core();
+        let core = core_ref.core();
         peer::Up {
             entry: entry.clone(),
             link,
--- a/src/entry/door.rs
+++ b/src/entry/inward_links.rs
@@ -11,7 +11,7 @@
 
 /// The links of other entries; clones share them.
 #[derive(Clone, Default)]
-pub struct Door {
+pub struct InwardLinks {
     links: Arc<Mutex<HashMap<id::EntryId, Inward>>>,
 }
 
@@ -43,7 +43,7 @@
     }
 }
 
-impl Door {
+impl InwardLinks {
     /// Tells all entries that are linked here.
     pub fn tell(&self, item: impl Fn() -> Returned) {
         for inward in self.links().values() {
@@ -88,16 +88,16 @@
 }
 
 /// Says something on a link where nothing else was said for a while.
-async fn heartbeat(door: Door, entry: id::EntryId, link: id::Link) {
-    while let Some(left) = door.heartbeat_due_in(&entry, link) {
+async fn heartbeat(links: InwardLinks, entry: id::EntryId, link: id::Link) {
+    while let Some(left) = links.heartbeat_due_in(&entry, link) {
         if !left.is_zero() {
             tokio::time::sleep(left).await;
             continue;
         }
-        let inward = door.links().get(&entry).cloned();
+        let inward = links.links().get(&entry).cloned();
         let sent = inward.is_some_and(|inward| inward.tx.send(Returned::Heartbeat).is_ok());
         if !sent {
-            door.forget(&entry, link);
+            links.forget(&entry, link);
             return;
         }
         // The message leaves as soon as the writer is free; until then none other is due.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,10 +4,10 @@
 mod cell;
 mod claiming;
 mod core;
-mod door;
 mod events;
 mod http;
 mod inward;
+mod inward_links;
 mod linking;
 mod offload;
 pub mod operate;
@@ -26,7 +26,7 @@
 use tokio::task::JoinHandle;
 
 use self::core::Core;
-use self::door::Door;
+use self::inward_links::InwardLinks;
 use crate::count;
 use crate::decide::owner;
 use crate::id;
@@ -71,8 +71,8 @@
     platform: platform::Platform,
     messages: count::Messages,
 ) -> anyhow::Result<Entry> {
-    let (door, behind) = (Door::default(), inward::Behind::default());
-    let service = inward::service(&door, &behind, cfg.id.clone(), messages.clone());
+    let (inward_links, core_ref) = (InwardLinks::default(), inward::CoreRef::default());
+    let service = inward::service(&inward_links, &core_ref, cfg.id.clone(), messages.clone());
     let peers = link::bind(cfg.peer_addr, service).await?;
     let addr = match &cfg.advertise {
         Some(addr) => addr.clone(),
@@ -83,10 +83,10 @@
         addr,
         platform,
         messages,
-        door,
+        inward_links,
         events::ownership,
     );
-    behind.put(&core);
+    core_ref.put(&core);
     let http = http::bind(cfg.http_addr, core.clone()).await?;
     let tasks = spawn(&core);
     Ok(Entry {
--- a/src/entry/peering.rs
+++ b/src/entry/peering.rs
@@ -52,7 +52,7 @@
         }
         return;
     }
-    if link.is_connecting() {
+    if !link.begins_connecting() {
         return;
     }
     let core = core.clone();
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -10,7 +10,7 @@
 
 use crate::class;
 use crate::decide::delivery;
-use crate::entry::door::Door;
+use crate::entry::inward_links::InwardLinks;
 use crate::id;
 use crate::submission::{Ending, Submission};
 use crate::wire::link;
@@ -20,7 +20,7 @@
 pub struct Peers {
     links: Mutex<HashMap<CompactString, Arc<PeerLink>>>,
     versions: Mutex<BTreeMap<id::EntryId, id::Version>>,
-    door: Door,
+    inward: InwardLinks,
 }
 
 /// One link to an owner.
@@ -51,29 +51,29 @@
 
 impl Peers {
     /// Opens an entry's side of the links.
-    pub fn open(door: Door) -> Peers {
+    pub fn open(inward: InwardLinks) -> Peers {
         Peers {
             links: Mutex::default(),
             versions: Mutex::default(),
-            door,
+            inward,
         }
     }
 
     /// Tells all linked entries that the configuration has changed here.
     pub fn announce_config(&self) {
         self.tell(|| Passed::Heartbeat);
-        self.door.tell(|| Returned::Heartbeat);
+        self.inward.tell(|| Returned::Heartbeat);
     }
 
     /// Tells the entries that rely on this one's reads that the watched rows have changed.
     pub fn announce_head(&self) {
-        self.door.tell(|| Returned::Heartbeat);
+        self.inward.tell(|| Returned::Heartbeat);
     }
 
     /// Asks all linked entries for a configuration newer than the one given.
     pub fn want_config(&self, version: id::Version) {
         self.tell(|| Passed::WantConfig(version));
-        self.door.tell(|| Returned::WantConfig(version));
+        self.inward.tell(|| Returned::WantConfig(version));
     }
 
     fn tell(&self, item: impl Fn() -> Passed) {
@@ -89,7 +89,7 @@
     pub fn note_version(&self, entry: &id::EntryId, version: id::Version) {
         let mut versions = self.versions.lock().expect("the versions are whole");
         if versions.insert(entry.clone(), version) != Some(version) {
-            self.door.tell(|| Returned::Versions(versions.clone()));
+            self.inward.tell(|| Returned::Versions(versions.clone()));
         }
     }
 
@@ -249,9 +249,9 @@
         self.heard.lock().expect("the link is whole").elapsed() > LATE
     }
 
-    /// Tells whether somebody connects already; whoever hears that nobody does has to.
-    pub fn is_connecting(&self) -> bool {
-        self.connecting.swap(true, Ordering::SeqCst)
+    /// Notes that an attempt to connect begins, unless one is under way; tells whether it does.
+    pub fn begins_connecting(&self) -> bool {
+        !self.connecting.swap(true, Ordering::SeqCst)
     }
 
     /// Notes that an attempt to connect has ended.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,9 +41,9 @@
 
 /// When something was last known to be so, for an age on the metrics page. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct Seen(Arc<AtomicU64>);
+pub struct LastSeen(Arc<AtomicU64>);
 
-impl Seen {
+impl LastSeen {
     /// It is so now.
     pub fn touch(&self, now: time::Duration) {
         self.0.store(now.as_millis() as u64, Ordering::Relaxed);
