--- a/src/besteffort/agent/link.rs
+++ b/src/besteffort/agent/link.rs
@@ -11,10 +11,11 @@
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 use crate::besteffort::agent::server::flush;
-use crate::besteffort::agent::{lock, tell_news, Inner, Link, TICK};
+use crate::besteffort::agent::{tell_news, Inner, Link, TICK};
 use crate::besteffort::line;
 use crate::clock;
 use crate::decide::besteffort::message::{Backend, EntryName, FromAgent, FromEntry};
+use crate::mutex;
 
 /// Longest that a connect to an entry may take: a few round trips between failure domains, and the
 /// pause of a machine that has used up its share of the processor. An address without power answers
@@ -48,7 +49,7 @@
 }
 
 fn set_link(inner: &Inner, addr: SocketAddr, set: impl FnOnce(&mut Link)) {
-    if let Some(link) = lock(&inner.links).get_mut(&addr) {
+    if let Some(link) = mutex::lock(&inner.links).get_mut(&addr) {
         set(link);
     }
 }
@@ -62,7 +63,7 @@
     let first: FromEntry = timeout(HELLO, reader.read()).await.map_err(late)??;
     let name = first.entry.ok_or(io::ErrorKind::InvalidData)?;
     log::info!(entry = name.entry.as_str(), life = name.life; "link to an entry is up");
-    let mut hello = lock(&inner.slots).entry_up(clock::since_boot(), &name);
+    let mut hello = mutex::lock(&inner.slots).entry_up(clock::since_boot(), &name);
     hello.agent = inner.cfg.name.clone();
     hello.life = inner.cfg.life;
     hello.failure_domain = inner.cfg.failure_domain.clone();
@@ -113,7 +114,7 @@
         let now = clock::since_boot();
         set_link(&self.inner, self.addr, |link| link.hungry = line.hungry);
         {
-            let mut slots = lock(&self.inner.slots);
+            let mut slots = mutex::lock(&self.inner.slots);
             let fresh = slots.heard(now, &self.name, line.seen_ms);
             for run in &line.stops {
                 slots.withdraw(now, &self.name, run);
@@ -128,7 +129,7 @@
     }
 
     fn line(&mut self) -> FromAgent {
-        let mut slots = lock(&self.inner.slots);
+        let mut slots = mutex::lock(&self.inner.slots);
         let mut line = slots.line(&self.name, clock::since_boot());
         line.taken = self.taken;
         let backend = slots.backend();
--- a/src/besteffort/agent/mod.rs
+++ b/src/besteffort/agent/mod.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use compact_str::CompactString;
@@ -26,6 +26,7 @@
 use crate::decide::besteffort::message::{Backend, EntryName, Room, Run};
 use crate::decide::besteffort::slots::{Counts, Listing, Slots, StartAnswer};
 use crate::id;
+use crate::mutex;
 
 /// How often time bounds are looked at; small against the shortest of them (40 ms).
 const TICK: time::Duration = time::Duration::from_millis(20);
@@ -128,10 +129,6 @@
     inner: Arc<Inner>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Starts an agent that has no links yet. It first ends whatever an earlier life left running.
 pub fn spawn(cfg: Config, server: BackendServer) -> Agent {
     let inner = Arc::new(Inner {
@@ -151,7 +148,7 @@
 impl Agent {
     /// The backend server has announced itself.
     pub fn announced(&self, backend: Backend) {
-        let check = lock(&self.inner.slots).announced(clock::since_boot(), backend);
+        let check = mutex::lock(&self.inner.slots).announced(clock::since_boot(), backend);
         if let Some(check) = check {
             tokio::spawn(check_life(self.inner.clone(), check));
         }
@@ -161,12 +158,12 @@
 
     /// The life of the backend server that is known; empty before any.
     pub fn instance(&self) -> CompactString {
-        lock(&self.inner.slots).instance()
+        mutex::lock(&self.inner.slots).instance()
     }
 
     /// The backend server as it last announced itself.
     pub fn backend(&self) -> Backend {
-        lock(&self.inner.slots).known().clone()
+        mutex::lock(&self.inner.slots).known().clone()
     }
 
     /// The backend server as an earlier life of the agent knew it. Its own word, which may take a
@@ -176,7 +173,7 @@
             return;
         }
         let instance = backend.instance.clone();
-        let check = lock(&self.inner.slots).announced(clock::since_boot(), backend);
+        let check = mutex::lock(&self.inner.slots).announced(clock::since_boot(), backend);
         if let Some(check) = check {
             check_life(self.inner.clone(), check).await;
         }
@@ -186,14 +183,14 @@
 
     /// The backend server has left, all of it.
     pub fn left(&self, instance: &str) {
-        lock(&self.inner.slots).left(clock::since_boot(), instance);
+        mutex::lock(&self.inner.slots).left(clock::since_boot(), instance);
         flush(&self.inner);
         tell_all(&self.inner);
     }
 
     /// Says where the entries are. Links to new addresses are opened; those to others are closed.
     pub fn entries(&self, addrs: &[SocketAddr]) {
-        let mut links = lock(&self.inner.links);
+        let mut links = mutex::lock(&self.inner.links);
         links.retain(|addr, link| {
             // A link that is up proves more than a list that may be stale.
             let stays = addrs.contains(addr) || link.name.is_some();
@@ -221,17 +218,17 @@
 
     /// Takes no new work, lets what runs end, `longest` at most, and ends the rest.
     pub async fn stop(&self, longest: time::Duration) {
-        lock(&self.inner.slots).stop(clock::since_boot());
+        mutex::lock(&self.inner.slots).stop(clock::since_boot());
         flush(&self.inner);
         tell_all(&self.inner);
         let idle = async {
-            while !lock(&self.inner.slots).is_idle() {
+            while !mutex::lock(&self.inner.slots).is_idle() {
                 sleep(TICK).await;
             }
         };
         if timeout(longest, idle).await.is_err() {
             log::warn!("stopping with runs left; they are ended");
-            lock(&self.inner.slots).stop_all(clock::since_boot());
+            mutex::lock(&self.inner.slots).stop_all(clock::since_boot());
             flush(&self.inner);
             sleep(2 * lease::STOP).await;
         }
@@ -242,11 +239,11 @@
     /// What it has and did, for the metrics page.
     pub fn status(&self) -> Status {
         let now = clock::since_boot();
-        let linked = lock(&self.inner.links)
+        let linked = mutex::lock(&self.inner.links)
             .values()
             .filter(|l| l.name.is_some())
             .count();
-        let slots = lock(&self.inner.slots);
+        let slots = mutex::lock(&self.inner.slots);
         Status {
             working: slots.is_working(),
             free: slots.free(),
@@ -259,9 +256,9 @@
 }
 
 fn tell_news(inner: &Inner) {
-    let slots = lock(&inner.slots);
+    let slots = mutex::lock(&inner.slots);
     let free = slots.free();
-    for link in lock(&inner.links).values() {
+    for link in mutex::lock(&inner.links).values() {
         let Some(name) = &link.name else {
             continue;
         };
@@ -272,7 +269,7 @@
 }
 
 fn tell_all(inner: &Inner) {
-    for link in lock(&inner.links).values() {
+    for link in mutex::lock(&inner.links).values() {
         link.news.notify_one();
     }
 }
--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -7,11 +7,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::besteffort::agent::{
-    lock, tell_all, tell_news, Answer, Inner, ListCall, NoListing, LISTING_SLACK, TICK,
+    tell_all, tell_news, Answer, Inner, ListCall, NoListing, LISTING_SLACK, TICK,
 };
 use crate::clock;
 use crate::decide::besteffort::message::Run;
 use crate::decide::besteffort::slots::{Check, Checked, Order, StartAnswer};
+use crate::mutex;
 
 /// The same while nothing is held.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
@@ -27,7 +28,7 @@
     let bounds = inner.cfg.bounds;
     let lapsed = last + bounds.lapse();
     loop {
-        let idle = lock(&inner.slots).is_idle();
+        let idle = mutex::lock(&inner.slots).is_idle();
         sleep(if idle { IDLE_TICK } else { TICK }).await;
         let now = clock::since_boot();
         if now - last > bounds.silence {
@@ -38,14 +39,14 @@
             inner.clean.store(true, Ordering::Relaxed);
         }
         renew_if_late(&inner, now);
-        lock(&inner.slots).tick(now);
+        mutex::lock(&inner.slots).tick(now);
         flush(&inner);
         tell_news(&inner);
     }
 }
 
 fn renew_if_late(inner: &Arc<Inner>, now: time::Duration) {
-    if lock(&inner.slots).renewal_overdue(now) {
+    if mutex::lock(&inner.slots).renewal_overdue(now) {
         let inner = inner.clone();
         tokio::spawn(async move {
             let _ = list_once(&inner, time::Duration::ZERO).await;
@@ -66,7 +67,7 @@
         if !listed {
             sleep(LISTING_PAUSE).await;
         }
-        if lock(&inner.slots).is_idle() {
+        if mutex::lock(&inner.slots).is_idle() {
             let _ = timeout(LISTING_WAIT, inner.work.notified()).await;
         }
     }
@@ -87,7 +88,7 @@
         Ok(Err(NoListing::Silent)) | Err(_) => Checked::Silent,
     };
     let is_idle = matches!(&checked, Checked::There(listing) if listing.running.is_empty());
-    let known = lock(&inner.slots).checked(clock::since_boot(), sent, &check, checked);
+    let known = mutex::lock(&inner.slots).checked(clock::since_boot(), sent, &check, checked);
     if !known {
         return;
     }
@@ -102,7 +103,7 @@
 async fn list_once(inner: &Arc<Inner>, wait: time::Duration) -> bool {
     let sent = clock::since_boot();
     let call = {
-        let mut slots = lock(&inner.slots);
+        let mut slots = mutex::lock(&inner.slots);
         let clean = inner.clean.load(Ordering::Relaxed);
         ListCall {
             life: slots.instance(),
@@ -117,13 +118,13 @@
     // Word from or about an earlier life, which was under way when the next one announced itself,
     // says nothing of what runs now. Taken for news, it ends runs that have just begun, and their
     // tasks run twice.
-    if lock(&inner.slots).instance() != life {
+    if mutex::lock(&inner.slots).instance() != life {
         return false;
     }
     let listed = match answer {
         Ok(Ok(listed)) => listed,
         Ok(Err(NoListing::AnotherLife)) => {
-            lock(&inner.slots).another_life(now);
+            mutex::lock(&inner.slots).another_life(now);
             return false;
         }
         Ok(Err(NoListing::Silent)) | Err(_) => return false,
@@ -131,7 +132,7 @@
     if listed.running.is_empty() {
         inner.clean.store(true, Ordering::Relaxed);
     }
-    lock(&inner.slots).listed(now, sent, listed);
+    mutex::lock(&inner.slots).listed(now, sent, listed);
     flush(inner);
     tell_news(inner);
     true
@@ -139,7 +140,7 @@
 
 /// Carries out what the slots ask for.
 pub(super) fn flush(inner: &Arc<Inner>) {
-    let orders = lock(&inner.slots).orders();
+    let orders = mutex::lock(&inner.slots).orders();
     for order in orders {
         let inner = inner.clone();
         match order {
@@ -162,7 +163,7 @@
 
 async fn start(inner: Arc<Inner>, run: Run, answer: Answer<StartAnswer>) {
     let answer = answer.await;
-    lock(&inner.slots).answered(clock::since_boot(), &run, answer);
+    mutex::lock(&inner.slots).answered(clock::since_boot(), &run, answer);
     inner.work.notify_one();
     flush(&inner);
     tell_news(&inner);
@@ -170,7 +171,7 @@
 
 async fn stop(inner: Arc<Inner>, run: Run, answer: Answer<bool>) {
     if answer.await {
-        let unsure = lock(&inner.slots).stop_answered(clock::since_boot(), &run);
+        let unsure = mutex::lock(&inner.slots).stop_answered(clock::since_boot(), &run);
         inner.work.notify_one();
         if unsure {
             // The listing that is under way waits for an end, which may never come.
--- a/src/besteffort/entry.rs
+++ b/src/besteffort/entry.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time;
 
 use compact_str::CompactString;
@@ -20,6 +20,7 @@
 use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Submission};
 use crate::decide::besteffort::lease::Bounds;
 use crate::decide::besteffort::message::{EntryName, FromAgent, FromEntry};
+use crate::mutex;
 
 /// How often time bounds are looked at.
 const TICK: time::Duration = time::Duration::from_millis(20);
@@ -68,10 +69,6 @@
     addr: SocketAddr,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Opens an entry that agents can connect to.
 ///
 /// # Errors
@@ -100,13 +97,16 @@
 
     /// Runs a job and returns how it ended. Dropping the future says that the caller has left.
     pub async fn run(&self, ask: Submission) -> Outcome {
-        let admitted = lock(&self.inner.board).submit(clock::since_boot(), ask);
+        let admitted = mutex::lock(&self.inner.board).submit(clock::since_boot(), ask);
         let no = match admitted {
             Admitted::Answered(outcome) => return outcome,
             Admitted::Job(no) => no,
         };
         let (tx, rx) = oneshot::channel();
-        lock(&self.inner.callers).entry(no).or_default().push(tx);
+        mutex::lock(&self.inner.callers)
+            .entry(no)
+            .or_default()
+            .push(tx);
         let _left = Left {
             inner: self.inner.clone(),
             no,
@@ -117,55 +117,55 @@
 
     /// Withdraws a job at its caller's request; false where it isn't known here.
     pub fn cancel(&self, job: &str) -> bool {
-        let found = lock(&self.inner.board).find(job);
+        let found = mutex::lock(&self.inner.board).find(job);
         let Some(no) = found else {
             return false;
         };
-        lock(&self.inner.callers).remove(&no);
-        lock(&self.inner.board).caller_left(clock::since_boot(), no);
+        mutex::lock(&self.inner.callers).remove(&no);
+        mutex::lock(&self.inner.board).caller_left(clock::since_boot(), no);
         carry_out(&self.inner);
         true
     }
 
     /// Whether a job is known and hasn't ended.
     pub fn knows(&self, job: &str) -> bool {
-        lock(&self.inner.board).find(job).is_some()
+        mutex::lock(&self.inner.board).find(job).is_some()
     }
 
     /// Jobs of a class of which nothing was started.
     pub fn pending(&self, class: &str) -> usize {
-        lock(&self.inner.board).pending(class)
+        mutex::lock(&self.inner.board).pending(class)
     }
 
     /// Jobs that haven't ended.
     pub fn open_jobs(&self) -> usize {
-        lock(&self.inner.board).open_jobs()
+        mutex::lock(&self.inner.board).open_jobs()
     }
 
     /// From now on takes only jobs that end by then, and none after `last`.
     pub fn stop_by(&self, last: time::Duration, by: time::Duration) {
-        lock(&self.inner.board).stop_by(last, by);
+        mutex::lock(&self.inner.board).stop_by(last, by);
     }
 
     /// Gives up and answers whatever hasn't ended.
     pub fn give_up(&self) {
-        lock(&self.inner.board).give_up_all(clock::since_boot());
+        mutex::lock(&self.inner.board).give_up_all(clock::since_boot());
         carry_out(&self.inner);
     }
 
     /// Counts since the start.
     pub fn counts(&self) -> Counts {
-        lock(&self.inner.board).counts.clone()
+        mutex::lock(&self.inner.board).counts.clone()
     }
 
     /// What is known of the agents, in numbers.
     pub fn membership(&self) -> Membership {
-        lock(&self.inner.board).membership(clock::since_boot())
+        mutex::lock(&self.inner.board).membership(clock::since_boot())
     }
 
     /// Agents that are linked.
     pub fn agents(&self) -> usize {
-        lock(&self.inner.links).len()
+        mutex::lock(&self.inner.links).len()
     }
 }
 
@@ -178,7 +178,7 @@
 impl Drop for Left {
     fn drop(&mut self) {
         {
-            let mut callers = lock(&self.inner.callers);
+            let mut callers = mutex::lock(&self.inner.callers);
             let Some(waiting) = callers.get_mut(&self.no) else {
                 return;
             };
@@ -188,7 +188,7 @@
             }
             callers.remove(&self.no);
         }
-        lock(&self.inner.board).caller_left(clock::since_boot(), self.no);
+        mutex::lock(&self.inner.board).caller_left(clock::since_boot(), self.no);
         carry_out(&self.inner);
     }
 }
@@ -201,10 +201,10 @@
         let pause = now.saturating_sub(last);
         if pause > STOOD_STILL {
             log::warn!(ms = pause.as_millis() as u64; "this process stood still");
-            lock(&inner.board).stood_still(now);
+            mutex::lock(&inner.board).stood_still(now);
         }
         last = now;
-        lock(&inner.board).tick(now);
+        mutex::lock(&inner.board).tick(now);
         carry_out(&inner);
     }
 }
@@ -212,10 +212,10 @@
 /// Does what the board has decided.
 fn carry_out(inner: &Inner) {
     let (actions, hungry) = {
-        let mut board = lock(&inner.board);
+        let mut board = mutex::lock(&inner.board);
         (board.actions(), board.is_hungry())
     };
-    let links = lock(&inner.links);
+    let links = mutex::lock(&inner.links);
     for action in actions {
         match action {
             Action::Start(link, start) => out(&links, link, |out| out.starts.push(start)),
@@ -229,7 +229,7 @@
         }
     }
     for link in links.values() {
-        let mut out = lock(&link.out);
+        let mut out = mutex::lock(&link.out);
         if out.hungry != hungry {
             out.hungry = hungry;
             if hungry {
@@ -241,13 +241,13 @@
 
 fn out(links: &HashMap<LinkNo, Arc<Link>>, link: LinkNo, add: impl FnOnce(&mut FromEntry)) {
     if let Some(link) = links.get(&link) {
-        add(&mut lock(&link.out));
+        add(&mut mutex::lock(&link.out));
         link.news.notify_one();
     }
 }
 
 fn answer(inner: &Inner, no: JobNo, outcome: &Outcome) {
-    let waiting = lock(&inner.callers).remove(&no).unwrap_or_default();
+    let waiting = mutex::lock(&inner.callers).remove(&no).unwrap_or_default();
     for tx in waiting {
         if tx.send(outcome.clone()).is_err() {
             log::debug!(job_no = no; "caller left as its answer was ready");
@@ -271,18 +271,18 @@
 
 async fn serve_link(inner: Arc<Inner>, stream: TcpStream) {
     let no = {
-        let mut next = lock(&inner.next_link);
+        let mut next = mutex::lock(&inner.next_link);
         *next += 1;
         *next
     };
     let link = Arc::new(Link::default());
-    lock(&inner.links).insert(no, link.clone());
+    mutex::lock(&inner.links).insert(no, link.clone());
     let result = converse(&inner, no, &link, stream).await;
-    lock(&inner.links).remove(&no);
+    mutex::lock(&inner.links).remove(&no);
     if let Err(e) = result {
         log::debug!(link = no, error = e.to_string().as_str(); "link has ended");
     }
-    lock(&inner.board).agent_down(clock::since_boot(), no);
+    mutex::lock(&inner.board).agent_down(clock::since_boot(), no);
     carry_out(&inner);
 }
 
@@ -314,7 +314,7 @@
     seen.agent_ms = line.now_ms;
     seen.at = now;
     {
-        let mut board = lock(&inner.board);
+        let mut board = mutex::lock(&inner.board);
         if let Some(hello) = &line.hello {
             board.agent_up(now, no, hello);
         }
@@ -334,7 +334,7 @@
     /// The next line, with what waits for the writer; times become those of the agent's clock. The
     /// way here makes them too early at most.
     fn line(&self, link: &Link) -> FromEntry {
-        let mut out = lock(&link.out);
+        let mut out = mutex::lock(&link.out);
         let hungry = out.hungry;
         let mut line = std::mem::take(&mut *out);
         out.hungry = hungry;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod key;
 pub mod logging;
 pub mod metrics;
+pub mod mutex;
 pub mod refusal;
 pub mod submission;
 pub mod task;
--- a/tests/users_platform/stand.rs
+++ b/tests/users_platform/stand.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use base64::engine::general_purpose::STANDARD;
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
+use lovagemill::mutex;
 use lovagemill::platform::http::{self, Caps, Reply};
 use lovagemill::wire::http::{Call, Client};
 use serde_json::{json, Value};
@@ -21,10 +22,6 @@
     idle: Duration::from_secs(60),
 };
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 pub fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -92,7 +89,7 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
                 "header_timeout_ms": 1000, "idle_timeout_ms": 15000},
         });
-        let mut state = lock(&self.state);
+        let mut state = mutex::lock(&self.state);
         state.version += 1;
         let row = (STANDARD.encode(config.to_string()), state.version);
         state.rows.insert(("op".into(), "config".into()), row);
@@ -100,14 +97,18 @@
 
     /// Drops the history: watches from before hear that it is gone.
     pub fn compact(&self) {
-        let mut state = lock(&self.state);
+        let mut state = mutex::lock(&self.state);
         state.version += 1;
         state.oldest = state.version;
     }
 
     /// Waits until somebody has written into a table.
     pub async fn wait_for(&self, table: &str) {
-        while !lock(&self.state).rows.keys().any(|(of, _)| of == table) {
+        while !mutex::lock(&self.state)
+            .rows
+            .keys()
+            .any(|(of, _)| of == table)
+        {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
@@ -123,7 +124,7 @@
     let text = |name: &str| asked.get(name).cloned().unwrap_or_default();
     match req.uri().path() {
         "/-/rows-get" => {
-            let state = lock(state);
+            let state = mutex::lock(state);
             let (table, from) = (text("table"), text("from"));
             let to = asked.get("to").cloned();
             let rows = state.rows.iter().filter(|((of, key), _)| {
@@ -141,7 +142,7 @@
             let until = Instant::now() + wait;
             loop {
                 {
-                    let state = lock(state);
+                    let state = mutex::lock(state);
                     if after < state.oldest {
                         return http::empty(410);
                     }
@@ -163,7 +164,7 @@
         }
         "/-/rows-tx" => {
             let change = body(req).await;
-            let mut state = lock(state);
+            let mut state = mutex::lock(state);
             state.version += 1;
             let version = state.version;
             let name =
@@ -266,7 +267,7 @@
 
     /// Every run so far.
     pub fn log(&self) -> Vec<Ran> {
-        lock(&self.work).log.clone()
+        mutex::lock(&self.work).log.clone()
     }
 
     fn clock_ms(&self) -> u64 {
@@ -275,7 +276,7 @@
 
     fn settle(&self) {
         let now = self.clock_ms();
-        let mut work = lock(&self.work);
+        let mut work = mutex::lock(&self.work);
         let lapsed = now > work.lease;
         let over = work
             .running
@@ -297,7 +298,7 @@
         self.settle();
         let token = order["fencing_token"].as_u64().unwrap_or(0);
         {
-            let mut work = lock(&self.work);
+            let mut work = mutex::lock(&self.work);
             if token < work.token {
                 return http::json(
                     409,
@@ -314,7 +315,7 @@
         match path.as_str() {
             "/-/run-start" => self.start(key(), &order),
             "/-/run-stop" => {
-                lock(&self.work).end(&key(), "stopped");
+                mutex::lock(&self.work).end(&key(), "stopped");
                 http::json(200, &json!({"clock_ms": self.clock_ms()}))
             }
             "/-/hold" => self.hold(&order).await,
@@ -331,7 +332,7 @@
             .as_str()
             .and_then(|text| text.parse().ok())
             .unwrap_or(5);
-        let mut work = lock(&self.work);
+        let mut work = mutex::lock(&self.work);
         work.log.push(Ran {
             task: key.0.clone(),
             began: Instant::now(),
@@ -345,15 +346,15 @@
 
     async fn hold(&self, order: &Value) -> Reply {
         let acknowledged = order["ack_cursor"].as_u64().unwrap_or(0);
-        lock(&self.work)
+        mutex::lock(&self.work)
             .finished
             .retain(|(number, ..)| *number > acknowledged);
         let until = Instant::now() + Duration::from_millis(order["wait_ms"].as_u64().unwrap_or(0));
-        while lock(&self.work).finished.is_empty() && Instant::now() < until {
+        while mutex::lock(&self.work).finished.is_empty() && Instant::now() < until {
             tokio::time::sleep(Duration::from_millis(5)).await;
             self.settle();
         }
-        let work = lock(&self.work);
+        let work = mutex::lock(&self.work);
         let running: Vec<Value> = work
             .running
             .keys()
