The agent's slots in files by type; whether it takes work is no copy

Every look at the queue, fifty times a second and with each start and listing, cloned the whole backend server with its labels to read one flag; takes_work works it out. No change in behaviour.

--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -5,8 +5,11 @@
 //! never asks for more than there is. Orders that had no answer count as running until it is
 //! certain that they don't.
 
+mod counts;
 mod entries;
+mod held;
 mod lives;
+mod order;
 mod server;
 
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
@@ -15,10 +18,12 @@
 use compact_str::CompactString;
 
 use crate::decide::besteffort::lease::{Bounds, Lease};
-use crate::decide::besteffort::message::{Backend, Ended, EntryName, How, Room, Run, Start};
-use crate::metrics;
+use crate::decide::besteffort::message::{Backend, Ended, EntryName, How, Room, Run};
 
+pub use counts::Counts;
+use held::{Held, State};
 pub use lives::{Check, Checked};
+pub use order::{Listing, Order, StartAnswer};
 
 /// Why runs are lost, in logs and metrics.
 const LEASE_RAN_OUT: &str = "lease ran out";
@@ -39,107 +44,6 @@
 /// How long an entry that is gone is remembered.
 const FORGET_ENTRY: time::Duration = time::Duration::from_secs(10);
 
-/// What the agent asks of one life of its backend server. An order that leaves late must not reach
-/// another life: its run was given up with the one that it was meant for, and its task may already
-/// run elsewhere.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Order {
-    /// Begin a run.
-    Start {
-        /// The life that is meant.
-        life: CompactString,
-        /// The run.
-        run: Run,
-        /// What it works on.
-        input: CompactString,
-        /// The end of its lease, on the backend server's clock in milliseconds.
-        until: u64,
-    },
-    /// End a run, or make sure that it never begins.
-    Stop {
-        /// The life that is meant.
-        life: CompactString,
-        /// The run.
-        run: Run,
-    },
-}
-
-/// What came of a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StartAnswer {
-    /// It runs.
-    Accepted,
-    /// It doesn't run and never will.
-    Refused,
-    /// The backend server turned it away since it is unwell; nothing ran.
-    Unwell,
-    /// Nobody can tell; it may even begin later.
-    Unknown,
-}
-
-impl StartAnswer {
-    /// Its name in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            StartAnswer::Accepted => "accepted",
-            StartAnswer::Refused => "refused",
-            StartAnswer::Unwell => "unwell",
-            StartAnswer::Unknown => "unknown",
-        }
-    }
-}
-
-/// What a backend server says that it has.
-#[derive(Clone, Debug, Default)]
-pub struct Listing {
-    /// Its clock, in milliseconds.
-    pub clock_ms: u64,
-    /// Runs at work, with hundredths done.
-    pub running: Vec<(Run, u8)>,
-    /// Ends that were not acknowledged before.
-    pub ended: Vec<(Run, How)>,
-    /// The number of the last of them; 0 where there is none.
-    pub last_end: u64,
-}
-
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum State {
-    /// No room yet.
-    Waiting,
-    /// The order is on its way.
-    Starting,
-    /// It runs.
-    Running,
-    /// The order had no answer; a stop will settle it.
-    Unsure,
-    /// A stop was answered; the next listing tells how it ended.
-    Closing,
-}
-
-#[derive(Clone, Debug)]
-struct Held {
-    start: Start,
-    entry: EntryName,
-    state: State,
-    /// Since when it waits or runs.
-    since: time::Duration,
-    /// Since when it has to end: withdrawn, past its deadline, or its entry silent.
-    unwanted: Option<time::Duration>,
-    /// When the last stop was sent, or answered while closing.
-    stop_at: time::Duration,
-    percent: u8,
-    /// When the listing with that was asked for.
-    percent_at: time::Duration,
-}
-
-impl Held {
-    /// The order in which starts wait for room.
-    fn rank(&self) -> (u32, u64, Run) {
-        let start = &self.start;
-        (start.priority, start.urgency_ms, start.run.clone())
-    }
-}
-
 #[derive(Debug, Default)]
 struct Entry {
     alive_until: time::Duration,
@@ -148,21 +52,6 @@
     kept: VecDeque<Ended>,
 }
 
-/// Counts since the start, for the metrics page.
-#[derive(Clone, Debug, Default)]
-pub struct Counts {
-    /// From a run's start, or its arrival if it never began, to its end; by how it ended.
-    pub ended: metrics::Seconds,
-    /// Starts by what came of them.
-    pub starts: BTreeMap<&'static str, u64>,
-    /// Stops sent, repeated ones included.
-    pub stops: u64,
-    /// Times that the lease ran out, or the backend server crashed, under runs; by which it was.
-    pub lost: BTreeMap<&'static str, u64>,
-    /// Lives of the backend server that were taken up.
-    pub lives: u64,
-}
-
 /// The state of an agent.
 #[derive(Debug)]
 pub struct Slots {
@@ -228,9 +117,14 @@
 
     /// The backend server as entries should see it.
     pub fn backend(&self) -> Backend {
-        let mut backend = self.backend.clone();
-        backend.takes_work &= self.reached && !self.stopping;
-        backend
+        Backend {
+            takes_work: self.takes_work(),
+            ..self.backend.clone()
+        }
+    }
+
+    fn takes_work(&self) -> bool {
+        self.backend.takes_work && self.reached && !self.stopping
     }
 
     /// The backend server as it last announced itself.
@@ -387,7 +281,7 @@
 
     /// Starts what fits, and turns away what can't start here.
     fn pump(&mut self, now: time::Duration) {
-        if !self.backend().takes_work {
+        if !self.takes_work() {
             let all: Vec<Run> = self.waiting.iter().map(|(.., run)| run.clone()).collect();
             for run in all {
                 self.end(now, &run, How::NotRun);
@@ -401,21 +295,20 @@
         }
     }
 
-    fn start_if_fits(&mut self, now: time::Duration, run: &Run) {
-        let free = self.backend.size.minus(&self.used);
-        // An earlier run of the same task that hasn't ended here would run beside this one.
+    /// Whether an earlier run of the same task hasn't ended here; a later one would run beside it.
+    fn has_earlier(&self, run: &Run) -> bool {
         let first = Run {
             number: 0,
             ..run.clone()
         };
         let mut earlier = self.held.range(first..run.clone());
-        if earlier.any(|(_, held)| held.state != State::Waiting) {
-            return;
-        }
-        let Some(held) = self.held.get(run) else {
-            return;
-        };
-        if !free.fits(&held.start.need) {
+        earlier.any(|(_, held)| held.state != State::Waiting)
+    }
+
+    fn start_if_fits(&mut self, now: time::Duration, run: &Run) {
+        let free = self.backend.size.minus(&self.used);
+        let fits = |held: &Held| free.fits(&held.start.need);
+        if !self.held.get(run).is_some_and(fits) || self.has_earlier(run) {
             return;
         }
         // The lease covers the run from the order on. Were it renewed only as the order leaves, the
