Board: one way out for a job, one pass for those that are lost

withdraw and forget were always called together (remove); jobs past their deadline and hopeless ones were looked for in two passes with a factor of 1.0; a job was looked up twice in judge; the factor 2.0 in choose has a name. No change in behaviour: same bounds, same actions.

--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -56,7 +56,7 @@
             self.requeue(now, no, run.task);
         }
         if let Some(view) = self.agents.get_mut(agent) {
-            view.runs = view.runs.saturating_sub(here);
+            view.ended(here);
         }
     }
 
@@ -122,7 +122,7 @@
         let placed = placed.clone();
         let (class, estimate) = (job.ask.class.clone(), job.estimate);
         if let Some(view) = self.agents.get_mut(&placed.agent) {
-            view.runs = view.runs.saturating_sub(1);
+            view.ended(1);
         }
         match end.how {
             How::Done => {
--- a/src/decide/besteffort/board/endings.rs
+++ b/src/decide/besteffort/board/endings.rs
@@ -13,10 +13,6 @@
 /// Most endings that are kept; a few hundred bytes each.
 const MAX_ENDINGS: usize = 4_000;
 
-/// Share of its slack after which a job of which nothing was started is refused after all, because
-/// the wait turned out longer than expected. What would be late holds up what needn't be.
-const HOPELESS: f64 = 1.0;
-
 /// Run times over the estimate after which a job's ending names the agents that had its tasks.
 const SLACK_OF_WIDTH: f64 = 1.5;
 
@@ -34,26 +30,9 @@
         }
     }
 
-    /// Refuses jobs that have waited in vain; callers do better to come back.
-    pub(super) fn refuse_hopeless(&mut self, now: time::Duration) {
-        let hopeless = self.queue.iter().filter_map(|(.., no, task)| {
-            let job = self
-                .jobs
-                .get(no)
-                .filter(|job| job.starts == 0 && *task == 0)?;
-            let slack = job.latest.saturating_sub(job.arrived);
-            (now > job.arrived + slack.mul_f64(HOPELESS)).then_some(*no)
-        });
-        let hopeless: Vec<JobNo> = hopeless.collect();
-        for no in hopeless {
-            self.finish(now, no, Outcome::GaveUp);
-        }
-    }
-
     /// Ends a job: stops what still runs and answers its caller.
     pub(super) fn finish(&mut self, now: time::Duration, no: JobNo, outcome: Outcome) {
-        self.withdraw(no);
-        let Some(job) = self.forget(no) else {
+        let Some(job) = self.remove(no) else {
             return;
         };
         let outcome = match outcome {
@@ -70,29 +49,23 @@
         self.actions.push(Action::Answer(no, outcome));
     }
 
-    pub(super) fn forget(&mut self, no: JobNo) -> Option<Job> {
+    /// Takes a job out and stops all that runs of it.
+    pub(super) fn remove(&mut self, no: JobNo) -> Option<Job> {
         let job = self.jobs.remove(&no)?;
         self.by_id.remove(&job.ask.job);
         for task in 0..job.ask.tasks {
             self.queue.remove(&job.rank(no, task));
         }
-        Some(job)
-    }
-
-    /// Stops all that runs of a job.
-    pub(super) fn withdraw(&mut self, no: JobNo) {
-        let Some(job) = self.jobs.get(&no) else {
-            return;
-        };
         for (run, placed) in job.runs() {
             let Some(view) = self.agents.get_mut(&placed.agent) else {
                 continue;
             };
-            view.runs = view.runs.saturating_sub(1);
+            view.ended(1);
             if let Some(link) = view.link {
                 self.actions.push(Action::Stop(link, run));
             }
         }
+        Some(job)
     }
 
     pub(super) fn forget_endings(&mut self, now: time::Duration) {
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -94,7 +94,8 @@
 pub struct Board {
     bounds: Bounds,
     agents: BTreeMap<id::AgentId, View>,
-    jobs: HashMap<JobNo, Job>,
+    /// Ordered, so that the same events have the same effects each time.
+    jobs: BTreeMap<JobNo, Job>,
     /// Tasks that wait for room, the next one first.
     queue: BTreeSet<Rank>,
     flow: Flow,
@@ -203,8 +204,7 @@
         if let Some(job) = self.jobs.get(&no) {
             log::info!(job = job.ask.job.as_str(), class = job.ask.class.as_str(),
                 starts = job.starts, left = job.left; "caller left");
-            self.withdraw(no);
-            self.forget(no);
+            self.remove(no);
             self.dispatch(now);
         }
     }
@@ -246,8 +246,7 @@
     pub fn tick(&mut self, now: time::Duration) {
         self.drop_silent(now);
         self.settle_doubts(now);
-        self.give_up(now, |job| now >= job.ask.deadline);
-        self.refuse_hopeless(now);
+        self.give_up(now, |job| now >= job.ask.deadline || job.is_hopeless(now));
         self.learned.compare();
         self.forget_endings(now);
         self.dispatch(now);
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -29,6 +29,10 @@
 /// An agent so much slower than usual gets work only if the target can still be met there.
 const SLOW: f64 = 2.0;
 
+/// How many times as long a task is taken to run at the agent that had it last, which lost, failed or
+/// turned it away: another one is tried first unless it is that much slower.
+const AGAIN: f64 = 2.0;
+
 /// Longest that a start may wait at an agent that was full on arrival, because another entry was
 /// quicker. Longer, and the entry could have placed it elsewhere.
 const PATIENCE: time::Duration = time::Duration::from_millis(40);
@@ -205,7 +209,7 @@
             }
             let mut cost = self.cost(job, view);
             if last == Some(&view.agent) {
-                cost *= 2.0;
+                cost *= AGAIN;
             }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, view));
--- a/src/decide/besteffort/board/rescue.rs
+++ b/src/decide/besteffort/board/rescue.rs
@@ -75,9 +75,6 @@
         if !standing && slowness < SLOW {
             return;
         }
-        let Some(job) = self.jobs.get(&no) else {
-            return;
-        };
         let here = if standing {
             f64::INFINITY
         } else {
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -205,6 +205,12 @@
         names.join(",").into()
     }
 
+    /// Whether the latest time for a start has passed before the first one. What would be late holds
+    /// up what needn't be; its caller does better to come back.
+    pub fn is_hopeless(&self, now: time::Duration) -> bool {
+        self.starts == 0 && now > self.latest
+    }
+
     /// The room of all its tasks, in thousandths of a core.
     pub fn room(&self) -> f64 {
         self.ask.need.cpu as f64 * f64::from(self.ask.tasks)
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -109,6 +109,11 @@
         self.unread.push_back((self.sent, need));
     }
 
+    /// Counts runs of ours that it has no more.
+    pub fn ended(&mut self, runs: u32) {
+        self.runs = self.runs.saturating_sub(runs);
+    }
+
     /// Room that is left, less what the agent hasn't read yet.
     pub fn free(&self) -> Room {
         let unread = self.unread.iter();
