--- a/src/cli/command/submit.rs
+++ b/src/cli/command/submit.rs
@@ -11,9 +11,10 @@
 use crate::cli::failure::Failure;
 use crate::cli::settings::Mistakes;
 use crate::cli::ExitCode;
+use crate::clock;
 use crate::code::Code;
-use crate::demo;
 use crate::filter;
+use crate::key;
 
 /// `submit` and `request`.
 #[derive(Args, Clone, Debug)]
@@ -53,7 +54,10 @@
 pub async fn submit(opts: &SubmitOpts, path: &str) -> anyhow::Result<ExitCode> {
     let client = opts.entry.client()?;
     let body = read(&opts.file)?;
-    let key = opts.key.clone().unwrap_or_else(|| demo::caller::mint(true));
+    let key = opts
+        .key
+        .clone()
+        .unwrap_or_else(|| key::mint(clock::since_epoch(), rand::random()));
     let mut mistakes = Mistakes::default();
     mistakes.expect(filter::key::is_key(&key), "--key", KEY);
     mistakes.finish()?;
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -29,7 +29,8 @@
     pub number: RunNumber,
 }
 
-/// Room on a backend server.
+/// Room on a backend server. Signed, unlike [`Needs`](crate::task::Needs): what is left goes below nothing where a
+/// backend server has shrunk under its runs, or several entries have counted on the same room.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Room {
     /// Processor time, in thousandths of a core.
