Operators evacuate a failure domain: entries read it, tell their agents, and agents refuse

Change: the entries' watch and their plain read take in the rows beside the configuration; each word carries the version of the store at which it was read, the newest holds; an agent in an evacuated domain takes no work, what runs goes on, what waits goes back at once. besteffort/entry is split into two files.

--- a/src/besteffort/agent/link.rs
+++ b/src/besteffort/agent/link.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 use crate::besteffort::agent::server::flush;
-use crate::besteffort::agent::{tell_news, Inner, Link, TICK};
+use crate::besteffort::agent::{tell_all, tell_news, Inner, Link, TICK};
 use crate::besteffort::line;
 use crate::clock;
 use crate::decide::besteffort::message::{Backend, EntryName, FromAgent, FromEntry};
@@ -134,8 +134,11 @@
 impl Talk {
     fn take(&mut self, line: FromEntry) {
         let now = clock::since_boot();
-        {
+        let changed = {
             let mut slots = mutex::lock(&self.inner.slots);
+            let changed = line
+                .evacuation
+                .is_some_and(|word| slots.evacuation(now, word));
             let fresh = slots.heard(now, &self.name, line.seen_ms);
             for run in &line.stops {
                 slots.withdraw(now, &self.name, run);
@@ -145,9 +148,14 @@
                 slots.start(now, &self.name, fresh, start);
             }
             slots.waits(now, &self.name, line.seen_ms, line.wants);
-        }
+            changed
+        };
         flush(&self.inner);
-        tell_news(&self.inner);
+        if changed {
+            tell_all(&self.inner);
+        } else {
+            tell_news(&self.inner);
+        }
     }
 
     fn line(&mut self) -> FromAgent {
--- a/src/besteffort/entry/mod.rs
+++ b/src/besteffort/entry/mod.rs
@@ -3,24 +3,27 @@
 //! What is done is decided by [`Board`]; this part carries its actions out. All runs on one thread:
 //! the entry VMs have a fraction of one core.
 
-use std::collections::{BTreeMap, HashMap};
+mod link;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time;
 
 use compact_str::CompactString;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, Notify};
-use tokio::time::{sleep, timeout};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
 
-use crate::besteffort::line;
+use crate::besteffort::entry::link::{accept, Link};
 use crate::clock;
 use crate::decide::besteffort::asking::Asking;
 use crate::decide::besteffort::board::{Action, Admitted, Board, Counts, Membership};
+use crate::decide::besteffort::evacuation::Evacuations;
 use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Submission};
 use crate::decide::besteffort::lease::Bounds;
-use crate::decide::besteffort::message::{EntryName, FromAgent, FromEntry, Wants};
+use crate::decide::besteffort::message::{EntryName, FromEntry, Wants};
 use crate::decide::besteffort::policy::Policy;
 use crate::mutex;
 
@@ -35,9 +38,6 @@
 /// silence is then 150 ms, and two more heartbeats fit before an agent gives the entry up.
 const JUST_WRITTEN: f64 = 0.25;
 
-/// How long an agent may take to say who it is.
-const HELLO: time::Duration = time::Duration::from_millis(1_000);
-
 /// Who an entry is, and where agents reach it.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -59,6 +59,8 @@
     links: Mutex<BTreeMap<LinkNo, Arc<Link>>>,
     /// What waits for room, and which agents know it.
     waits: Mutex<Waits>,
+    /// Which failure domains get nothing new.
+    evacuations: Mutex<Evacuations>,
     callers: Mutex<HashMap<JobNo, Vec<oneshot::Sender<Outcome>>>>,
     next_link: Mutex<LinkNo>,
 }
@@ -69,17 +71,6 @@
     asking: Asking,
 }
 
-/// The entry's side of a link.
-#[derive(Default)]
-struct Link {
-    /// What waits for the writer.
-    out: Mutex<FromEntry>,
-    /// When the last line left.
-    written: Mutex<time::Duration>,
-    news: Notify,
-    close: Notify,
-}
-
 /// A running entry.
 #[derive(Clone)]
 pub struct Entry {
@@ -100,6 +91,7 @@
         cfg,
         links: Mutex::default(),
         waits: Mutex::default(),
+        evacuations: Mutex::default(),
         callers: Mutex::default(),
         next_link: Mutex::default(),
     });
@@ -172,6 +164,19 @@
         carry_out(&self.inner);
     }
 
+    /// Says which failure domains operators have evacuated, as read at a version of the store. Agents
+    /// hear of a change at once.
+    pub fn evacuated(&self, version: u64, domains: &BTreeSet<CompactString>) {
+        if !mutex::lock(&self.inner.evacuations).read(version, domains) {
+            return;
+        }
+        let all: Vec<&str> = domains.iter().map(CompactString::as_str).collect();
+        log::info!(domains = all.join(",").as_str(), version = version; "evacuated failure domains");
+        for link in mutex::lock(&self.inner.links).values() {
+            link.news.notify_one();
+        }
+    }
+
     /// Counts since the start.
     pub fn counts(&self) -> Counts {
         mutex::lock(&self.inner.board).counts.clone()
@@ -298,112 +303,3 @@
         }
     }
 }
-
-async fn accept(inner: Arc<Inner>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_link(inner.clone(), stream));
-            }
-            Err(e) => {
-                log::error!(error = e.to_string().as_str(); "no link can be accepted");
-                sleep(TICK).await;
-            }
-        }
-    }
-}
-
-async fn serve_link(inner: Arc<Inner>, stream: TcpStream) {
-    let no = {
-        let mut next = mutex::lock(&inner.next_link);
-        *next += 1;
-        *next
-    };
-    let link = Arc::new(Link::default());
-    mutex::lock(&inner.links).insert(no, link.clone());
-    let result = converse(&inner, no, &link, stream).await;
-    mutex::lock(&inner.links).remove(&no);
-    mutex::lock(&inner.waits).asking.closed(no);
-    if let Err(e) = result {
-        log::debug!(link = no, error = e.to_string().as_str(); "link has ended");
-    }
-    mutex::lock(&inner.board).agent_down(clock::since_boot(), no);
-    carry_out(&inner);
-}
-
-async fn converse(inner: &Inner, no: LinkNo, link: &Link, stream: TcpStream) -> io::Result<()> {
-    let (mut reader, mut writer) = line::open(stream)?;
-    let first = FromEntry {
-        entry: Some(inner.cfg.name.clone()),
-        ..FromEntry::default()
-    };
-    writer.write(&first).await?;
-    let late = |_| io::Error::from(io::ErrorKind::TimedOut);
-    let hello: FromAgent = timeout(HELLO, reader.read()).await.map_err(late)??;
-    let mut seen = Seen::default();
-    take(inner, no, &mut seen, hello);
-    loop {
-        tokio::select! {
-            line = reader.read::<FromAgent>() => {
-                let line = line?;
-                let lent = !line.lent.is_empty();
-                take(inner, no, &mut seen, line);
-                if lent {
-                    link.news.notify_one();
-                }
-            }
-            () = link.news.notified() => {
-                let wants = {
-                    let mut waits = mutex::lock(&inner.waits);
-                    let wants = waits.wants;
-                    waits.asking.said(no, wants.map(|wants| wants.priority));
-                    wants
-                };
-                writer.write(&seen.line(link, wants)).await?;
-            }
-            () = link.close.notified() => return Ok(()),
-        }
-    }
-}
-
-fn take(inner: &Inner, no: LinkNo, seen: &mut Seen, line: FromAgent) {
-    let now = clock::since_boot();
-    seen.agent_ms = line.now_ms;
-    seen.at = now;
-    {
-        let mut board = mutex::lock(&inner.board);
-        if let Some(hello) = &line.hello {
-            board.agent_up(now, no, hello);
-        }
-        board.heard(now, no, &line);
-    }
-    carry_out(inner);
-}
-
-/// The agent's clock as last heard, and when that was.
-#[derive(Default)]
-struct Seen {
-    agent_ms: u64,
-    at: time::Duration,
-}
-
-impl Seen {
-    /// The next line, with what waits for the writer; times become those of the agent's clock. The
-    /// way here makes them too early at most.
-    fn line(&self, link: &Link, wants: Option<Wants>) -> FromEntry {
-        *mutex::lock(&link.written) = clock::since_boot();
-        let mut line = std::mem::take(&mut *mutex::lock(&link.out));
-        line.wants = wants;
-        line.seen_ms = self.agent_ms;
-        let at = self.at.as_millis() as u64;
-        let there = |ms: u64| (ms + self.agent_ms).saturating_sub(at);
-        for start in &mut line.starts {
-            start.deadline_ms = there(start.deadline_ms);
-            start.urgency_ms = there(start.urgency_ms);
-        }
-        if let Some(wants) = &mut line.wants {
-            wants.urgency_ms = there(wants.urgency_ms);
-        }
-        line
-    }
-}
--- /dev/null
+++ b/src/decide/besteffort/evacuation.rs
@@ -0,0 +1,92 @@
+//! Which failure domains operators have evacuated: nothing new starts on their backend servers until
+//! they are taken back.
+//!
+//! Operators write it to the platform's store, which the entries read. An agent is told by the entries and
+//! refuses by itself. Did only the entries know, one that is cut off from the store would go on
+//! sending work into the domain for as long as that lasts. Every word has the version of the store
+//! that it was read at, and the agent believes the newest one, so that an entry that has read nothing
+//! for a while can't bring an old word back. `docs/design/evacuation.md` weighs the ways.
+
+use std::collections::BTreeSet;
+use std::time;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// How often an agent is told again what hasn't changed. An evacuation may begin and be taken back between
+/// two looks of one entry while another entry sees its beginning and is then cut off from the store: the
+/// agent would believe in it for good. A few bytes on a line that leaves anyway.
+const AGAIN: time::Duration = time::Duration::from_secs(2);
+
+/// What an entry tells an agent of its failure domain.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Word {
+    /// The version of the store at which it was true; one count for the whole store.
+    pub version: u64,
+    /// Whether the domain is evacuated.
+    pub evacuated: bool,
+}
+
+/// What an entry knows of all failure domains.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Evacuations {
+    version: u64,
+    domains: BTreeSet<CompactString>,
+}
+
+impl Evacuations {
+    /// Takes in which domains were evacuated at a version of the store; an older version is passed
+    /// over. Returns whether any domain was evacuated or taken back.
+    pub fn read(&mut self, version: u64, domains: &BTreeSet<CompactString>) -> bool {
+        if version < self.version {
+            return false;
+        }
+        self.version = version;
+        let changed = self.domains != *domains;
+        if changed {
+            self.domains.clone_from(domains);
+        }
+        changed
+    }
+
+    /// What to tell the agents of a domain; nothing before anything was read.
+    pub fn word(&self, domain: &str) -> Option<Word> {
+        (self.version > 0).then(|| Word {
+            version: self.version,
+            evacuated: self.domains.contains(domain),
+        })
+    }
+}
+
+impl Word {
+    /// Takes in another word on the same domain: the one read at a newer version holds. Returns whether
+    /// the domain was evacuated or taken back by it.
+    pub fn update(&mut self, other: Word) -> bool {
+        if other.version < self.version {
+            return false;
+        }
+        let changed = other.evacuated != self.evacuated;
+        *self = other;
+        changed
+    }
+}
+
+/// What an entry has told one agent on the link that is up.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told(Option<(bool, time::Duration)>);
+
+impl Told {
+    /// Which part of a word the next line should carry: all of it where the agent hasn't heard it yet or
+    /// for [`AGAIN`], else nothing.
+    pub fn due(&mut self, now: time::Duration, word: Option<Word>) -> Option<Word> {
+        let word = word?;
+        let is_known = |(evacuated, at): (bool, time::Duration)| {
+            evacuated == word.evacuated && now.saturating_sub(at) < AGAIN
+        };
+        if self.0.is_some_and(is_known) {
+            return None;
+        }
+        self.0 = Some((word.evacuated, now));
+        Some(word)
+    }
+}
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::decide::besteffort::evacuation;
 use crate::id;
 
 /// Longest line that is read, in bytes: a hundred starts with inputs of four kilobytes each.
@@ -229,6 +230,10 @@
     /// What waits at the entry for room, if anything does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wants: Option<Wants>,
+    /// Whether the agent's failure domain is evacuated; on a link's first line after the agent has said
+    /// who it is, and when it changes. It holds for the starts of the same line already.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuation: Option<evacuation::Word>,
     /// Runs to start.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub starts: Vec<Start>,
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -18,6 +18,7 @@
 
 use compact_str::CompactString;
 
+use crate::decide::besteffort::evacuation;
 use crate::decide::besteffort::lease::{Bounds, Lease};
 use crate::decide::besteffort::message::{Backend, Ended, EntryName, How, Room, Run, Wants};
 
@@ -81,6 +82,8 @@
     /// When runs that nobody here asked for were told to stop.
     alien_stops: BTreeMap<Run, time::Duration>,
     stopping: bool,
+    /// The newest word on whether the agent's failure domain is evacuated.
+    evacuation: evacuation::Word,
     /// Whether the backend server was heard lately.
     reached: bool,
     /// What the agent did since the start.
@@ -110,6 +113,7 @@
             orders: Vec::new(),
             alien_stops: BTreeMap::new(),
             stopping: false,
+            evacuation: evacuation::Word::default(),
             reached: false,
             counts: Counts::default(),
         }
@@ -129,7 +133,7 @@
     }
 
     fn takes_work(&self) -> bool {
-        self.backend.takes_work && self.reached && !self.stopping
+        self.backend.takes_work && self.reached && !self.stopping && !self.evacuation.evacuated
     }
 
     /// The backend server as it last announced itself.
@@ -169,6 +173,19 @@
         self.pump(now);
     }
 
+    /// Takes in an entry's word on whether the failure domain is evacuated: nothing new starts meanwhile,
+    /// what runs goes on, and starts that wait go back to their entries at once. Returns whether that
+    /// has changed.
+    pub fn evacuation(&mut self, now: time::Duration, word: evacuation::Word) -> bool {
+        let changed = self.evacuation.update(word);
+        if changed {
+            log::info!(evacuated = word.evacuated, version = word.version;
+                "failure domain was evacuated or taken back");
+            self.pump(now);
+        }
+        changed
+    }
+
     /// Ends whatever is left.
     pub fn stop_all(&mut self, now: time::Duration) {
         let all: Vec<Run> = self.held.keys().cloned().collect();
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -79,13 +79,18 @@
     }
 
     async fn add_worker(&mut self, test: &str, n: usize) {
+        self.add_worker_in("z", test, n).await;
+    }
+
+    async fn add_worker_in(&mut self, domain: &str, test: &str, n: usize) {
         let worker = Worker::open(&format!("i-{n}")).await;
         let seeds: Vec<String> = self
             .entries
             .iter()
             .map(|entry| entry.addr("links"))
             .collect();
-        let agent = processes::agent(
+        let agent = processes::agent_in(
+            domain,
             &format!("{test}-agent-{n}"),
             self.store.addr,
             worker.addr,
@@ -606,3 +611,72 @@
         assert!(!system.runs().1, "two runs met");
     });
 }
+
+/// A task starts on a backend server whose failure domain is about to lose its power. The operator had
+/// evacuated the domain; then its agent was started anew while the store was away, and an entry that had
+/// known the evacuation only from the store's history would have sent it work again. Taken back while
+/// the history is gone, the domain must serve as before.
+#[test]
+fn an_evacuated_domain_gets_nothing_until_it_is_taken_back() {
+    block_on(async {
+        let mut system = System::open("evacuated", 2, 1).await;
+        system.add_worker_in("y", "evacuated", 1).await;
+        for entry in &system.entries {
+            takes_work(entry, "evacuated-agent-1", true);
+        }
+        system.store.evacuate("y");
+        for entry in &system.entries {
+            takes_work(entry, "evacuated-agent-1", false);
+        }
+        // An entry that starts now has never seen the row come.
+        let late = processes::entry("evacuated-entry-late", system.store.addr);
+        late.line(|line| line["message"] == "evacuated failure domains" && line["domains"] == "y");
+
+        system.store.set_away(true);
+        let seeds: Vec<String> = system.entries.iter().map(|e| e.addr("links")).collect();
+        let next = processes::agent_in(
+            "y",
+            "evacuated-agent-1",
+            system.store.addr,
+            system.workers[1].addr,
+            &seeds,
+        );
+        system.agents[1] = next;
+        let told = |line: &Value| {
+            line["message"] == "failure domain was evacuated or taken back"
+                && line["evacuated"] == true
+        };
+        system.agents[1].line(told);
+        let announce = system.agents[1].addr("announce");
+        system.workers[1].announce(announce, system.client.clone());
+        system.agents[1].line(|line| line["message"] == "backend server has a new life");
+        let asked = job(8, 30);
+        for id in 0..4 {
+            assert_eq!(system.submit(id as usize % 2, id, &asked).await.0, 200);
+        }
+        assert_eq!(system.workers[1].log().len(), 0, "nothing runs there");
+
+        system.store.take_back("y");
+        system.store.compact();
+        system.store.set_away(false);
+        for entry in &system.entries {
+            takes_work(entry, "evacuated-agent-1", true);
+        }
+        // Eight fit on one of the two.
+        for id in 10..14 {
+            assert_eq!(
+                system.submit(id as usize % 2, id, &job(12, 30)).await.0,
+                200
+            );
+        }
+        assert_ne!(system.workers[1].log().len(), 0, "it serves again");
+    });
+}
+
+fn takes_work(entry: &Process, agent: &str, takes_work: bool) {
+    entry.line(|line| {
+        line["message"] == "agent changed its mind about new work"
+            && line["agent"] == agent
+            && line["takes_work"] == takes_work
+    });
+}
--- a/tests/users_platform/processes.rs
+++ b/tests/users_platform/processes.rs
@@ -97,9 +97,20 @@
         "metrics": any(), "store": store, "stop_within_s": 6})
 }
 
-/// Starts an agent beside a backend server.
+/// Starts an agent beside a backend server, in failure domain `z`.
 pub fn agent(name: &str, store: SocketAddr, backend: SocketAddr, seeds: &[String]) -> Process {
-    let content = json!({"name": name, "failure_domain": "z", "announce": any(), "backend": backend,
+    agent_in("z", name, store, backend, seeds)
+}
+
+/// Starts an agent beside a backend server in a failure domain.
+pub fn agent_in(
+    domain: &str,
+    name: &str,
+    store: SocketAddr,
+    backend: SocketAddr,
+    seeds: &[String],
+) -> Process {
+    let content = json!({"name": name, "failure_domain": domain, "announce": any(), "backend": backend,
         "metrics": any(), "seeds": seeds, "store": store, "stop_within_s": 6});
     start(AGENT, name, &content, true)
 }
--- a/tests/users_platform/stand.rs
+++ b/tests/users_platform/stand.rs
@@ -55,10 +55,20 @@
 #[derive(Default)]
 struct Rows {
     rows: Keyed,
+    /// Rows that were removed, and at which version.
+    gone: BTreeMap<(String, String), u64>,
     version: u64,
     oldest: u64,
 }
 
+impl Rows {
+    fn remove(&mut self, key: (String, String)) {
+        self.version += 1;
+        self.rows.remove(&key);
+        self.gone.insert(key, self.version);
+    }
+}
+
 impl Store {
     pub async fn open() -> Store {
         let state: Arc<Mutex<Rows>> = Arc::default();
@@ -95,11 +105,27 @@
         state.rows.insert(("op".into(), "config".into()), row);
     }
 
+    /// The operator evacuates a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        let mut state = mutex::lock(&self.state);
+        state.version += 1;
+        let row = (STANDARD.encode("{}"), state.version);
+        let key = ("op".into(), format!("evacuate/{domain}"));
+        state.rows.insert(key, row);
+    }
+
+    /// The operator takes an evacuated failure domain back.
+    pub fn take_back(&self, domain: &str) {
+        let key = ("op".into(), format!("evacuate/{domain}"));
+        mutex::lock(&self.state).remove(key);
+    }
+
     /// Drops the history: watches from before hear that it is gone.
     pub fn compact(&self) {
         let mut state = mutex::lock(&self.state);
         state.version += 1;
         state.oldest = state.version;
+        state.gone.clear();
     }
 
     /// Waits until somebody has written into a table.
@@ -151,7 +177,10 @@
                         .rows
                         .iter()
                         .filter(|((of, _), (_, ver))| *of == table && *ver > after);
-                    let rows: Vec<Value> = rows.map(row).collect();
+                    let mut rows: Vec<Value> = rows.map(row).collect();
+                    let gone = state.gone.iter();
+                    let gone = gone.filter(|((of, _), ver)| *of == table && **ver > after);
+                    rows.extend(gone.map(tombstone));
                     if !rows.is_empty() || Instant::now() >= until {
                         return http::json(
                             200,
@@ -174,8 +203,9 @@
                 state.rows.insert(key, (name(row, "value"), version));
             }
             for row in change["remove"].as_array().into_iter().flatten() {
-                state.rows.remove(&(name(row, "table"), name(row, "key")));
+                state.remove((name(row, "table"), name(row, "key")));
             }
+            let version = state.version;
             http::json(200, &json!({"ver": version, "now_ms": now_ms}))
         }
         _ => http::empty(404),
@@ -186,6 +216,10 @@
     json!({"table": table, "part": "", "key": key, "value": value, "ver": ver})
 }
 
+fn tombstone(((table, key), ver): (&(String, String), &u64)) -> Value {
+    json!({"table": table, "part": "", "key": key, "ver": ver, "tombstone": true})
+}
+
 /// One run that a worker had.
 #[derive(Clone, Debug)]
 pub struct Ran {
