Entries draw between agents that suit alike, and ask before they send where starts come back

Cause: what an entry knows of an agent's room is up to 120 ms old, and all entries took the agent that looked emptiest. In the play of 35 entries and 160 agents at 0.8 of the room 1.22 starts a task were sent and 2.7 in a hundred jobs of the short class were late with nothing waiting; with 12 entries 1.05, with 4 1.01. At 1.2 times the room 1.31 starts, 15 in a hundred late.

Ruled out, each in the play: distance in time of the word as a risk added to the expected end (1.26 starts, it draws all to the same agents still); a draw by the square or fourth power of the room (1.17, 1.34); a margin of 1 times the usual change of the room, at all loads (1.24); that margin only where others wait or the own queue is long (as without). The share of the whole fleet for a job's own tasks in the forecast: no difference.

Change: of the agents where a task ends within a quarter of its run time of the soonest one is drawn in proportion to its room (draw.rs). Starts that come back make an entry cautious: it then sends only where the room can't have gone since the agent was heard, or to room that was lent to it (caution.rs).

--- a/src/decide/besteffort/asking.rs
+++ b/src/decide/besteffort/asking.rs
@@ -29,11 +29,6 @@
     asked_at: time::Duration,
 }
 
-fn at_once() -> usize {
-    static K: std::sync::OnceLock<usize> = std::sync::OnceLock::new();
-    *K.get_or_init(|| std::env::var("ASK").map_or(AT_ONCE, |s| s.parse().unwrap()))
-}
-
 impl Asking {
     /// A line leaves on a link, and says how urgent what waits is; none if nothing waits.
     pub fn said(&mut self, link: LinkNo, priority: Option<u32>) {
@@ -66,7 +61,7 @@
         let due: Vec<LinkNo> = around
             .map(|(link, _)| *link)
             .filter(|link| !knows(link))
-            .take(at_once())
+            .take(AT_ONCE)
             .collect();
         self.last = due.last().copied().unwrap_or(self.last);
         due
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -169,8 +169,8 @@
             .last
             .as_ref()
             .filter(|_| task.failed > 0 && self.has_other(job));
-        let long = self.flow.mean_seconds(now, job.estimate.as_secs_f64()).max(SHORTEST);
-        let turnover = 1.0 / long;
+        let long = self.flow.mean_seconds(now, job.estimate.as_secs_f64());
+        let long = time::Duration::from_secs_f64(long.max(SHORTEST));
         let mut open: Vec<(f64, &View)> = Vec::new();
         for view in self.agents.values() {
             if !view.takes(now) || !Board::suits(job, view) || !view.free().fits(&job.ask.need) {
@@ -179,7 +179,7 @@
             if failed_at == Some(&view.agent) {
                 continue;
             }
-            if !self.is_sure(now, job, view, turnover) {
+            if !self.is_sure(now, job, view, long) {
                 continue;
             }
             if !self.has_share(job, view) || self.too_slow(now, job, view) {
@@ -203,26 +203,16 @@
         first.map(|(_, view)| view.agent.clone())
     }
 
-    fn is_sure(&self, now: time::Duration, job: &Job, view: &View, turnover: f64) -> bool {
-        static K: std::sync::OnceLock<f64> = std::sync::OnceLock::new();
-        let k = *K.get_or_init(|| std::env::var("SURE").map_or(0.0, |s| s.parse().unwrap()));
-        static M: std::sync::OnceLock<String> = std::sync::OnceLock::new();
-        let m = M.get_or_init(|| std::env::var("MODE").unwrap_or_default());
+    /// Whether a task still finds room at an agent when its start arrives, as far as the entry can tell.
+    fn is_sure(&self, now: time::Duration, job: &Job, view: &View, long: time::Duration) -> bool {
         if view.has_lent(&job.ask.need) {
             return true;
         }
-        match m.as_str() {
-            "a" if view.sharers > 1 => return false,
-            "b" if view.sharers <= 1 => return true,
-            "c" if self.queue.len() as u32 <= job.ask.tasks => return true,
-            "a" => return true,
-            _ => {}
-        }
         let need = job.ask.need.cpu.max(1) as f64;
-        let places = view.free().cpu as f64 / need;
-        let all = view.backend.size.cpu as f64 / need;
-        let age = now.saturating_sub(view.heard).as_secs_f64();
-        places >= 1.0 + k * (all * turnover * age).sqrt()
+        let free = view.free().cpu as f64 / need;
+        let places = view.backend.size.cpu as f64 / need;
+        let age = now.saturating_sub(view.heard);
+        free >= 1.0 + self.caution.margin(places, age, long)
     }
 
     fn has_other(&self, job: &Job) -> bool {
--- a/tests/besteffort_load/main.rs
+++ b/tests/besteffort_load/main.rs
@@ -65,66 +65,47 @@
     }
 }
 
+/// The customers' largest deployment: 35 entries, 160 workers.
+const LARGE: Load = Load {
+    entries: 35,
+    agents: 160,
+    times_capacity: 0.8,
+    unanswered: 0,
+    ..GROWN
+};
+
+/// One consent check in forty was late with nothing waiting anywhere. Between two words of an agent, up to
+/// 120 ms, all 35 entries took the one that looked emptiest: it filled up, and one start in five came back
+/// after 40 ms. Drawn in proportion to the room, 1.05 starts a task are sent and no job in a hundred is late
+/// (1.22 and 2.7 in a hundred where all take the emptiest).
 #[test]
-#[ignore]
-fn experiment() {
-    let seeds: u64 = std::env::var("SEEDS").map_or(2, |s| s.parse().unwrap());
-    let only: String = std::env::var("SIZE").unwrap_or_default();
-    for (entries, agents) in [(4, 11), (12, 68), (35, 160)] {
-        if !only.is_empty() && only != entries.to_string() {
-            continue;
-        }
-        for (calm, burst) in [(0.8, 0.8), (0.8, 1.2), (0.8, 1.5)] {
-            let mut total = [(0, 0, 0); 3];
-            let (mut starts, mut good) = (0.0, 0.0);
-            let mut spans: Vec<(u64, u64, f64)> = Vec::new();
-            for seed in 0..seeds {
-                let load = Load {
-                    entries,
-                    agents,
-                    times_capacity: calm,
-                    unanswered: 0,
-                    burst: Some((700, 1500, burst)),
-                    seconds: 2,
-                    ..GROWN
-                };
-                let seen = World::open(seed + 11, load).play();
-                for (t, c) in total.iter_mut().zip(seen.by_class()) {
-                    t.0 += c.0;
-                    t.1 += c.1;
-                    t.2 += c.2;
-                }
-                starts += seen.starts_per_task() / seeds as f64;
-                good += seen.goodput() / seeds as f64;
-                for (n, s) in seen.spans.iter().enumerate() {
-                    if spans.len() <= n {
-                        spans.push((0, 0, 0.0));
-                    }
-                    spans[n].0 += s.jobs;
-                    spans[n].1 += s.refused;
-                    spans[n].2 += s.busy(&load) / seeds as f64;
-                }
-            }
-            let share = total.map(|(all, refused, late)| {
-                format!(
-                    "{:.3}/{:.3}",
-                    refused as f64 / all as f64,
-                    late as f64 / all as f64
-                )
-            });
-            println!("{entries}x{agents} {calm}->{burst}: refused/late {share:?} starts {starts:.3} goodput {good:.3}");
-            let line: Vec<String> = spans
-                .iter()
-                .take(21)
-                .map(|(j, r, b)| {
-                    format!(
-                        "{:.0}@{:.0}",
-                        100.0 * *r as f64 / (*j).max(1) as f64,
-                        b * 100.0
-                    )
-                })
-                .collect();
-            println!("   refused%@busy%: {}", line.join(" "));
-        }
+fn many_entries_do_not_all_take_the_agent_that_looks_emptiest() {
+    let seen = World::open(11, LARGE).play();
+    assert!(seen.starts_per_task() <= 1.08, "{seen:?}");
+    assert_eq!(seen.refused, 0, "{seen:?}");
+    for (all, _, late) in seen.by_class() {
+        assert!(late * 100 <= all, "{seen:?}");
     }
 }
+
+/// Under a little more work than there is room for, one job in seven was late, of the two shorter classes,
+/// rather than some being told at once to come back: entries sent to places that had been taken meanwhile,
+/// and waited for 40 ms each time. Entries that see starts come back ask before they send: late are 11 and 3
+/// jobs in a hundred (15 and 15 before), with 1.03 starts a task (1.31 before).
+#[test]
+fn entries_whose_starts_come_back_ask_before_they_send() {
+    let burst = Load {
+        seconds: 2,
+        burst: Some((700, 1_500, 1.2)),
+        ..LARGE
+    };
+    let seen = World::open(11, burst).play();
+    assert!(seen.starts_per_task() <= 1.06, "{seen:?}");
+    let late = seen
+        .by_class()
+        .map(|(all, _, late)| late as f64 / all as f64);
+    assert!(
+        late[0] <= 0.13 && late[1] <= 0.06 && late[2] <= 0.02,
+        "{late:?}"
+    );
+}
--- a/tests/besteffort_load/world.rs
+++ b/tests/besteffort_load/world.rs
@@ -67,24 +67,10 @@
     pub burst: Option<(u64, u64, f64)>,
 }
 
-/// A span of the play.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Span {
-    pub jobs: u64,
-    pub refused: u64,
-    /// Time that places were at work, in microseconds.
-    worked: u64,
-}
-
-/// Length of a span.
-const SPAN: Us = 100 * MS;
-
 /// What came of it.
 #[derive(Debug, Default)]
 pub struct Seen {
     pub refused: u64,
-    /// By span of [`SPAN`]: jobs that came, and those refused; work that was under way at its end.
-    pub spans: Vec<Span>,
     starts: u64,
     tasks_done: u64,
     /// By class: jobs, and those answered in time.
@@ -96,13 +82,6 @@
     room: u64,
 }
 
-impl Span {
-    /// Share of the places that were at work.
-    pub fn busy(&self, load: &Load) -> f64 {
-        self.worked as f64 / (PLACES * load.agents as u64 * SPAN) as f64
-    }
-}
-
 impl Seen {
     pub fn starts_per_task(&self) -> f64 {
         self.starts as f64 / self.tasks_done as f64
@@ -325,7 +304,6 @@
                         self.now.min(self.last_job()),
                     );
                     self.seen.worked += to.saturating_sub(from);
-                    self.worked(began);
                     self.agents[a].end(run, How::Done);
                     self.list(a);
                 }
@@ -333,16 +311,6 @@
         }
     }
 
-    fn worked(&mut self, began: Us) {
-        self.span();
-        let first = BEGIN + FIRST;
-        for (n, span) in self.seen.spans.iter_mut().enumerate() {
-            let from = first + n as Us * SPAN;
-            let (from, to) = (began.max(from), self.now.min(from + SPAN));
-            span.worked += to.saturating_sub(from);
-        }
-    }
-
     fn last_job(&self) -> Us {
         BEGIN + FIRST + self.load.seconds * 1_000 * MS
     }
@@ -380,7 +348,6 @@
         self.jobs += 1;
         let ask = ask(self.jobs, class, at(self.now));
         self.seen.jobs[class].0 += 1;
-        self.span().jobs += 1;
         match self.entries[e].board.submit(at(self.now), ask) {
             Admitted::Job(no) => {
                 self.entries[e].callers.insert(no, (class, self.now));
@@ -453,15 +420,6 @@
     fn refused(&mut self, class: usize) {
         self.seen.refused += 1;
         self.seen.refused_by_class[class] += 1;
-        self.span().refused += 1;
-    }
-
-    fn span(&mut self) -> &mut Span {
-        let n = (self.now.saturating_sub(BEGIN + FIRST) / SPAN) as usize;
-        while self.seen.spans.len() <= n {
-            self.seen.spans.push(Span::default());
-        }
-        &mut self.seen.spans[n]
     }
 
     fn entry_says(&mut self, e: usize, a: usize) {
