--- a/src/decide/besteffort/policy.rs
+++ b/src/decide/besteffort/policy.rs
@@ -1,7 +1,7 @@
 //! Every threshold and weight by which best-effort work is ordered, placed, refused and moved.
 //!
 //! One documented value each, handed down to the decisions, so that an experiment can vary them one at
-//! a time; `docs/design/decisions.md` has what each was measured to be worth. It is no setting of
+//! a time; `docs/design/decisions.md` has what callers gain by each. It is no setting of
 //! operators: these give classes and targets only. Time bounds that keep two runs of a task apart are in
 //! [`lease`](crate::decide::besteffort::lease), since they guard a promise and aren't weighed.
 
@@ -28,9 +28,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Admission {
     /// Share of a job's slack that may be expected to pass in the queue. Under lasting overload the wait
-    /// settles at this bound. Less refuses work that had time (0.5 and 0.3: 0.02 and 0.03 of the worth of
-    /// the small deployments); more makes what is served late where everything is full (1.2: 0.016 of
-    /// Trilha's grown one).
+    /// settles at this bound. At half of it callers are turned away whose work had time; at 1.2 times what is
+    /// served comes late where all workers are full.
     pub admitted: f64,
     /// Least part of an equal share of the workers that an entry counts on before its own starts tell.
     pub least_share: f64,
@@ -41,7 +40,7 @@
 /// Where a task goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
-    /// How many times as long a task runs away from its data; from the deployments (1.5 to 3).
+    /// How many times as long a task runs away from its data, where the settings don't say; they say 1.5 to 3.
     pub far: f64,
     /// What an exchange with another failure domain takes more.
     pub other_domain: time::Duration,
@@ -119,7 +118,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Learning {
     /// Weight of the declared time against the class's mean, both as logarithms. Declared times and work
-    /// scatter about equally (0.4 each on today's deployments), so each tells half.
+    /// scatter about equally (by 0.4 each, as logarithms), so each tells half.
     pub declared: f64,
     /// Weight of a new run time in the mean of a class.
     pub class_gain: f64,
--- a/tests/besteffort_evacuation.rs
+++ b/tests/besteffort_evacuation.rs
@@ -8,10 +8,10 @@
 use compact_str::CompactString;
 use lovagemill::decide::besteffort::evacuation::{Evacuations, Told, Word};
 use lovagemill::decide::besteffort::lease::Bounds;
-use lovagemill::decide::besteffort::message::{EntryName, How, Run};
+use lovagemill::decide::besteffort::message::{How, Run};
 use lovagemill::decide::besteffort::slots::{Checked, Order, Slots, StartAnswer};
 
-use support::besteffort::{backend, listed, run, start};
+use support::besteffort::{backend, entry, listed, run, start};
 
 const START: u64 = 10_000;
 
@@ -19,13 +19,6 @@
     Duration::from_millis(at)
 }
 
-fn entry(name: &str) -> EntryName {
-    EntryName {
-        entry: name.into(),
-        life: 1,
-    }
-}
-
 fn domains(names: &[&str]) -> BTreeSet<CompactString> {
     names
         .iter()
--- a/tests/besteffort_lending.rs
+++ b/tests/besteffort_lending.rs
@@ -7,10 +7,10 @@
 
 use lovagemill::decide::besteffort::asking::Asking;
 use lovagemill::decide::besteffort::lease::Bounds;
-use lovagemill::decide::besteffort::message::{EntryName, How, Room, Run, Wants};
+use lovagemill::decide::besteffort::message::{How, Room, Run, Wants};
 use lovagemill::decide::besteffort::slots::{Checked, Listing, Slots, StartAnswer};
 
-use support::besteffort::{self, backend, listed, NEED};
+use support::besteffort::{self, backend, entry, listed, NEED};
 
 const START: u64 = 10_000;
 
@@ -18,13 +18,6 @@
     Duration::from_millis(at)
 }
 
-fn entry(name: &str) -> EntryName {
-    EntryName {
-        entry: name.into(),
-        life: 1,
-    }
-}
-
 fn wants(priority: u32, urgency_ms: u64, tasks: u32) -> Option<Wants> {
     Some(Wants {
         priority,
--- /dev/null
+++ b/tests/besteffort_load/load.rs
@@ -0,0 +1,122 @@
+//! What is played, and what callers got of it.
+
+use std::time::Duration;
+
+use lovagemill::decide::besteffort::job::Submission;
+use lovagemill::decide::besteffort::message::Room;
+
+/// Tasks that a worker has room for.
+pub const PLACES: u64 = 10;
+
+/// The customers' kinds of work: tasks of a job, run time in milliseconds, share of all jobs.
+pub const CLASSES: [(u32, u64, u32); 3] = [(8, 60, 24), (2, 200, 70), (4, 900, 6)];
+
+/// Who hears of a place that comes free.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Claims {
+    /// The entry that it is lent to, as shipped.
+    Lent,
+    /// Every entry with work waiting.
+    Everyone,
+}
+
+/// Work beyond the usual, in milliseconds after the first job.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    pub from_ms: u64,
+    pub to_ms: u64,
+    /// Work that comes meanwhile, against what the workers can do.
+    pub times_capacity: f64,
+}
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub entries: usize,
+    pub agents: usize,
+    /// Work that comes, against what the workers can do.
+    pub times_capacity: f64,
+    /// Starts without an answer, in a hundred.
+    pub unanswered: u32,
+    pub claims: Claims,
+    pub seconds: u64,
+    pub burst: Option<Burst>,
+}
+
+/// The jobs of one class.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Jobs {
+    pub all: u64,
+    /// Answered in time.
+    pub good: u64,
+    pub refused: u64,
+}
+
+impl Jobs {
+    fn share(&self, jobs: u64) -> f64 {
+        jobs as f64 / self.all.max(1) as f64
+    }
+
+    pub fn in_time(&self) -> f64 {
+        self.share(self.good)
+    }
+
+    /// Share of those that were taken in and not answered in time.
+    pub fn late(&self) -> f64 {
+        self.share(self.all - self.good - self.refused)
+    }
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub starts: u64,
+    pub tasks_done: u64,
+    /// By class.
+    pub jobs: [Jobs; 3],
+    /// Time that places were at work on runs that were done, and all the time there was, in
+    /// microseconds.
+    pub worked: u64,
+    pub room: u64,
+}
+
+impl Seen {
+    pub fn starts_per_task(&self) -> f64 {
+        self.starts as f64 / self.tasks_done as f64
+    }
+
+    pub fn goodput(&self) -> f64 {
+        self.worked as f64 / self.room as f64
+    }
+
+    pub fn refused(&self) -> u64 {
+        self.jobs.iter().map(|jobs| jobs.refused).sum()
+    }
+}
+
+/// A job of a class, by its number.
+pub fn ask(number: u64, class: usize, now: Duration) -> Submission {
+    let (tasks, ms, _) = CLASSES[class];
+    Submission {
+        job: format!("{number:015x}{class}").into(),
+        class: format!("class-{class}").into(),
+        service: "svc".into(),
+        input: "input".into(),
+        tasks,
+        need: Room {
+            cpu: 1_000,
+            memory_mb: 1,
+            accelerators: 0,
+        },
+        declared: Duration::from_millis(ms),
+        requires: None,
+        near: None,
+        per_worker: None,
+        attempts: 3,
+        priority: class as u32,
+        stretch: 1.6,
+        slack: Duration::from_millis(60),
+        deadline: now + Duration::from_millis(1_500 + 5 * ms),
+        first_run: number * 1_000,
+    }
+}
--- a/tests/besteffort_load/main.rs
+++ b/tests/besteffort_load/main.rs
@@ -1,9 +1,11 @@
 //! Load in virtual time: many entries and agents with the shipped decisions, more work than the workers
 //! can do, and what callers get of it.
 
+mod load;
 mod world;
 
-use world::{Claims, Load, World};
+use load::{Burst, Claims, Load};
+use world::World;
 
 /// The customers' grown deployments: twelve entries, 68 workers of ten places.
 const GROWN: Load = Load {
@@ -57,9 +59,9 @@
         };
         let seen = World::open(7, calm).play();
         assert!(seen.starts_per_task() <= 1.05, "{seen:?}");
-        assert_eq!(seen.refused, 0, "{seen:?}");
+        assert_eq!(seen.refused(), 0, "{seen:?}");
         assert!(
-            seen.in_time().iter().all(|share| *share >= 0.95),
+            seen.jobs.iter().all(|jobs| jobs.in_time() >= 0.95),
             "{seen:?}"
         );
     }
@@ -82,9 +84,9 @@
 fn many_entries_do_not_all_take_the_agent_that_looks_emptiest() {
     let seen = World::open(11, LARGE).play();
     assert!(seen.starts_per_task() <= 1.08, "{seen:?}");
-    assert_eq!(seen.refused, 0, "{seen:?}");
-    for (all, _, late) in seen.by_class() {
-        assert!(late * 100 <= all, "{seen:?}");
+    assert_eq!(seen.refused(), 0, "{seen:?}");
+    for jobs in &seen.jobs {
+        assert!(jobs.late() <= 0.01, "{seen:?}");
     }
 }
 
@@ -96,14 +98,16 @@
 fn entries_whose_starts_come_back_ask_before_they_send() {
     let burst = Load {
         seconds: 2,
-        burst: Some((700, 1_500, 1.2)),
+        burst: Some(Burst {
+            from_ms: 700,
+            to_ms: 1_500,
+            times_capacity: 1.2,
+        }),
         ..LARGE
     };
     let seen = World::open(11, burst).play();
     assert!(seen.starts_per_task() <= 1.06, "{seen:?}");
-    let late = seen
-        .by_class()
-        .map(|(all, _, late)| late as f64 / all as f64);
+    let late = seen.jobs.map(|jobs| jobs.late());
     assert!(
         late[0] <= 0.13 && late[1] <= 0.06 && late[2] <= 0.02,
         "{late:?}"
--- a/tests/besteffort_load/world.rs
+++ b/tests/besteffort_load/world.rs
@@ -6,7 +6,7 @@
 
 use lovagemill::decide::besteffort::asking::Asking;
 use lovagemill::decide::besteffort::board::{Action, Admitted, Board};
-use lovagemill::decide::besteffort::job::{JobNo, Outcome, Submission};
+use lovagemill::decide::besteffort::job::{JobNo, Outcome};
 use lovagemill::decide::besteffort::lease::Bounds;
 use lovagemill::decide::besteffort::message::{
     Backend, EntryName, FromAgent, FromEntry, How, Room, Run,
@@ -16,6 +16,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::load::{self, Burst, Claims, Load, Seen, CLASSES, PLACES};
+
 /// Times are in microseconds.
 type Us = u64;
 
@@ -30,8 +32,6 @@
 const SENT_AGAIN: Us = 20 * MS;
 /// How long an agent waits for an answer to an order.
 const UNANSWERED: Us = 50 * MS;
-/// Tasks that a worker has room for.
-const PLACES: u64 = 10;
 /// When the play begins, when after that callers do, and how long what they sent last may take.
 const BEGIN: Us = 500 * MS;
 const FIRST: Us = 1_000 * MS;
@@ -39,73 +39,6 @@
 /// How long the workers take to fill up.
 const FILLS: Us = 300 * MS;
 
-/// The customers' kinds of work: tasks of a job, run time in milliseconds, share of all jobs.
-const CLASSES: [(u32, u64, u32); 3] = [(8, 60, 24), (2, 200, 70), (4, 900, 6)];
-
-/// Who hears of a place that comes free.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Claims {
-    /// The entry that it is lent to, as shipped.
-    Lent,
-    /// Every entry with work waiting.
-    Everyone,
-}
-
-/// What is played.
-#[derive(Clone, Copy, Debug)]
-pub struct Load {
-    pub entries: usize,
-    pub agents: usize,
-    /// Work that comes, against what the workers can do.
-    pub times_capacity: f64,
-    /// Starts without an answer, in a hundred.
-    pub unanswered: u32,
-    pub claims: Claims,
-    pub seconds: u64,
-    /// A burst: from and to when, in milliseconds after the first job, and its work against what the workers
-    /// can do.
-    pub burst: Option<(u64, u64, f64)>,
-}
-
-/// What came of it.
-#[derive(Debug, Default)]
-pub struct Seen {
-    pub refused: u64,
-    starts: u64,
-    tasks_done: u64,
-    /// By class: jobs, and those answered in time.
-    jobs: [(u64, u64); 3],
-    refused_by_class: [u64; 3],
-    /// Time that places were at work on runs that were done, and all the time there was, in
-    /// microseconds.
-    worked: u64,
-    room: u64,
-}
-
-impl Seen {
-    pub fn starts_per_task(&self) -> f64 {
-        self.starts as f64 / self.tasks_done as f64
-    }
-
-    pub fn goodput(&self) -> f64 {
-        self.worked as f64 / self.room as f64
-    }
-
-    /// Jobs of each class, those refused and those late.
-    pub fn by_class(&self) -> [(u64, u64, u64); 3] {
-        [0, 1, 2].map(|class| {
-            let (all, good) = self.jobs[class];
-            let refused = self.refused_by_class[class];
-            (all, refused, all - good - refused)
-        })
-    }
-
-    /// Share of the jobs of each class that were answered in time.
-    pub fn in_time(&self) -> [f64; 3] {
-        self.jobs.map(|(all, good)| good as f64 / all.max(1) as f64)
-    }
-}
-
 enum Event {
     EntryTick(usize),
     AgentTick(usize),
@@ -318,7 +251,11 @@
     fn times_capacity(&self) -> f64 {
         let ms = self.now.saturating_sub(BEGIN + FIRST) / MS;
         match self.load.burst {
-            Some((from, to, times)) if (from..to).contains(&ms) => times,
+            Some(Burst {
+                from_ms,
+                to_ms,
+                times_capacity,
+            }) if (from_ms..to_ms).contains(&ms) => times_capacity,
             _ => self.load.times_capacity,
         }
     }
@@ -346,8 +283,8 @@
         let uneven = self.rng.random_range(0.0..1.0_f64).powf(1.3);
         let e = (uneven * self.load.entries as f64) as usize;
         self.jobs += 1;
-        let ask = ask(self.jobs, class, at(self.now));
-        self.seen.jobs[class].0 += 1;
+        let ask = load::ask(self.jobs, class, at(self.now));
+        self.seen.jobs[class].all += 1;
         match self.entries[e].board.submit(at(self.now), ask) {
             Admitted::Job(no) => {
                 self.entries[e].callers.insert(no, (class, self.now));
@@ -410,7 +347,7 @@
             Outcome::Complete => {
                 self.seen.tasks_done += u64::from(tasks);
                 let target = ms * MS * 16 / 10 + 60 * MS;
-                self.seen.jobs[class].1 += u64::from(self.now - came <= target);
+                self.seen.jobs[class].good += u64::from(self.now - came <= target);
             }
             Outcome::NotRun(..) => self.refused(class),
             Outcome::Failed | Outcome::GaveUp => {}
@@ -418,8 +355,7 @@
     }
 
     fn refused(&mut self, class: usize) {
-        self.seen.refused += 1;
-        self.seen.refused_by_class[class] += 1;
+        self.seen.jobs[class].refused += 1;
     }
 
     fn entry_says(&mut self, e: usize, a: usize) {
@@ -564,29 +500,3 @@
         self.ended.push((self.last_end, run, how));
     }
 }
-
-fn ask(number: u64, class: usize, now: Duration) -> Submission {
-    let (tasks, ms, _) = CLASSES[class];
-    Submission {
-        job: format!("{number:015x}{class}").into(),
-        class: format!("class-{class}").into(),
-        service: "svc".into(),
-        input: "input".into(),
-        tasks,
-        need: Room {
-            cpu: 1_000,
-            memory_mb: 1,
-            accelerators: 0,
-        },
-        declared: Duration::from_millis(ms),
-        requires: None,
-        near: None,
-        per_worker: None,
-        attempts: 3,
-        priority: class as u32,
-        stretch: 1.6,
-        slack: Duration::from_millis(60),
-        deadline: now + Duration::from_millis(1_500 + 5 * ms),
-        first_run: number * 1_000,
-    }
-}
--- a/tests/support/besteffort.rs
+++ b/tests/support/besteffort.rs
@@ -155,6 +155,14 @@
     }
 }
 
+/// The first life of an entry.
+pub fn entry(name: &str) -> EntryName {
+    EntryName {
+        entry: name.into(),
+        life: 1,
+    }
+}
+
 /// A life of a backend server that takes work.
 pub fn backend(life: &str) -> Backend {
     Backend {
