--- a/src/decide/besteffort/caution.rs
+++ b/src/decide/besteffort/caution.rs
@@ -5,7 +5,7 @@
 //! waits behind others for up to 40 ms and comes back, and short tasks are late with room elsewhere. An
 //! entry that sees starts come back sends to an agent only where that can't have filled up meanwhile, or
 //! where room was lent to it, and asks otherwise. At 1.2 times the room with 35 entries and 160 agents
-//! late jobs of the short class fall from 15% to 8%, of the middle one from 15% to 3%, and starts a
+//! late jobs of the short class fall from 15% to 11%, of the middle one from 15% to 3%, and starts a
 //! task from 1.31 to 1.03 (`tests/besteffort_load`). With few entries hardly any start comes back, and
 //! nothing is asked that needn't be.
 
