--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -12,7 +12,7 @@
 
 use crate::decide::besteffort::board::{Action, Board};
 use crate::decide::besteffort::draw;
-use crate::decide::besteffort::job::{Job, JobNo, Placed, State};
+use crate::decide::besteffort::job::{Job, JobNo, Placed, State, Task};
 use crate::decide::besteffort::message::Start;
 use crate::decide::besteffort::view::View;
 use crate::id;
@@ -164,35 +164,10 @@
     /// drawn from, see [`draw`].
     fn choose(&self, now: time::Duration, job: &Job, index: id::TaskIndex) -> Option<id::AgentId> {
         let task = &job.tasks[index as usize];
-        // A second failure at the same worker may be the job's last: it waits for another one.
-        let failed_at = task
-            .last
-            .as_ref()
-            .filter(|_| task.failed > 0 && self.has_other(job));
-        let long = self.flow.mean_seconds(now, job.estimate.as_secs_f64());
-        let long = time::Duration::from_secs_f64(long.max(SHORTEST));
-        let mut open: Vec<(f64, &View)> = Vec::new();
-        for view in self.agents.values() {
-            if !view.takes(now) || !Board::suits(job, view) || !view.free().fits(&job.ask.need) {
-                continue;
-            }
-            if failed_at == Some(&view.agent) {
-                continue;
-            }
-            if !self.is_sure(now, job, view, long) {
-                continue;
-            }
-            if !self.has_share(job, view) || self.too_slow(now, job, view) {
-                continue;
-            }
-            let mut cost = self.cost(job, view);
-            if task.last.as_ref() == Some(&view.agent) {
-                cost *= self.policy.placement.again;
-            }
-            open.push((cost, view));
-        }
-        let least = open.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp)?;
-        let most = least + job.estimate.as_secs_f64() * self.policy.placement.alike;
+        let open = self.open_agents(now, job, task);
+        let costs = open.iter().map(|(cost, _)| *cost);
+        let most = costs.min_by(f64::total_cmp)?
+            + job.estimate.as_secs_f64() * self.policy.placement.alike;
         let alike = open.iter().filter(|(cost, _)| *cost <= most);
         let run = job.run(index, job.next_run);
         let drawn = alike.map(|(_, view)| {
@@ -203,6 +178,37 @@
         first.map(|(_, view)| view.agent.clone())
     }
 
+    /// The agents that a task may be sent to now, each with its expected run time there in seconds.
+    fn open_agents(&self, now: time::Duration, job: &Job, task: &Task) -> Vec<(f64, &View)> {
+        // A second failure at the same worker may be the job's last: it waits for another one.
+        let failed_at = task
+            .last
+            .as_ref()
+            .filter(|_| task.failed > 0 && self.has_other(job));
+        let long = self.flow.mean_seconds(now, job.estimate.as_secs_f64());
+        let long = time::Duration::from_secs_f64(long.max(SHORTEST));
+        let is_open = |view: &&View| {
+            view.takes(now)
+                && Board::suits(job, view)
+                && view.free().fits(&job.ask.need)
+                && failed_at != Some(&view.agent)
+                && self.is_sure(now, job, view, long)
+                && self.has_share(job, view)
+                && !self.too_slow(now, job, view)
+        };
+        let cost = |view: &View| {
+            let had_it = task.last.as_ref() == Some(&view.agent);
+            let again = if had_it {
+                self.policy.placement.again
+            } else {
+                1.0
+            };
+            self.cost(job, view) * again
+        };
+        let open = self.agents.values().filter(is_open);
+        open.map(|view| (cost(view), view)).collect()
+    }
+
     /// Whether a task still finds room at an agent when its start arrives, as far as the entry can tell.
     fn is_sure(&self, now: time::Duration, job: &Job, view: &View, long: time::Duration) -> bool {
         if view.has_lent(&job.ask.need) {
