--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -149,7 +149,6 @@
         }
         match end.how {
             How::Done => {
-                self.caution.began();
                 task.state = State::Done;
                 task.last = Some(placed.agent.clone());
                 job.left -= 1;
@@ -175,7 +174,6 @@
                 // clock that it came from was set back.
                 job.next_run += RUN_STEP;
                 self.counts.bounced += 1;
-                self.caution.came_back();
                 if let Some(view) = self.agents.get_mut(&placed.agent) {
                     view.turned_away(now);
                     if end.how == How::Rejected && view.failed(now) {
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -14,7 +14,6 @@
 
 use compact_str::CompactString;
 
-use crate::decide::besteffort::caution::Caution;
 use crate::decide::besteffort::flow::Flow;
 use crate::decide::besteffort::job::{Job, JobNo, LinkNo, NotRun, Outcome, Rank, Submission};
 use crate::decide::besteffort::learn::Learned;
@@ -98,7 +97,6 @@
     queue: BTreeSet<Rank>,
     flow: Flow,
     learned: Learned,
-    caution: Caution,
     /// What the driver hasn't fetched yet.
     actions: Vec<Action>,
     /// What the entry did since the start.
@@ -146,7 +144,6 @@
             queue: BTreeSet::new(),
             flow: Flow::default(),
             learned: Learned::open(policy.learning),
-            caution: Caution::open(policy.caution),
             actions: Vec::new(),
             counts: Counts::default(),
             domain: domain.into(),
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -185,14 +185,11 @@
             .last
             .as_ref()
             .filter(|_| task.failed > 0 && self.has_other(job));
-        let long = self.flow.mean_seconds(now, job.estimate.as_secs_f64());
-        let long = time::Duration::from_secs_f64(long.max(SHORTEST));
         let is_open = |view: &&View| {
             view.takes(now)
                 && Board::suits(job, view)
                 && view.free().fits(&job.ask.need)
                 && failed_at != Some(&view.agent)
-                && self.is_sure(now, job, view, long)
                 && self.has_share(job, view)
                 && !self.too_slow(now, job, view)
         };
@@ -209,18 +206,6 @@
         open.map(|view| (cost(view), view)).collect()
     }
 
-    /// Whether a task still finds room at an agent when its start arrives, as far as the entry can tell.
-    fn is_sure(&self, now: time::Duration, job: &Job, view: &View, long: time::Duration) -> bool {
-        if view.has_lent(&job.ask.need) {
-            return true;
-        }
-        let need = job.ask.need.cpu.max(1) as f64;
-        let free = view.free().cpu as f64 / need;
-        let places = view.backend.size.cpu as f64 / need;
-        let age = now.saturating_sub(view.heard);
-        free >= 1.0 + self.caution.margin(places, age, long)
-    }
-
     fn has_other(&self, job: &Job) -> bool {
         self.suiting(job).count() > 1
     }
--- a/src/decide/besteffort/policy.rs
+++ b/src/decide/besteffort/policy.rs
@@ -14,8 +14,6 @@
     pub admission: Admission,
     /// The choice of an agent for a task.
     pub placement: Placement,
-    /// How far old words on an agent's room are trusted.
-    pub caution: Caution,
     /// Moving runs off slow and standing workers.
     pub rescue: Rescue,
     /// Leaving failing workers alone.
@@ -60,18 +58,6 @@
     pub look_ahead: usize,
 }
 
-/// How far an entry trusts what it last heard of an agent's room.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Caution {
-    /// What a start that came back adds.
-    pub raise: f64,
-    /// What a run that was done leaves. With `raise` it settles at 3 where one start in thirty comes back, and
-    /// at 1 where one in a hundred does.
-    pub keep: f64,
-    /// Most that it grows to: at 3 times the usual change of a place's room hardly any start comes back.
-    pub most: f64,
-}
-
 /// When a run is stopped to begin elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rescue {
@@ -149,11 +135,6 @@
                 patience: time::Duration::from_millis(40),
                 look_ahead: 4,
             },
-            caution: Caution {
-                raise: 1.0,
-                keep: 0.99,
-                most: 3.0,
-            },
             rescue: Rescue {
                 cost: time::Duration::from_millis(80),
                 gain: 1.6,
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -123,11 +123,6 @@
         unread.fold(self.free, |free, (_, need)| free.minus(need))
     }
 
-    /// Whether the agent keeps room for a task like this for us.
-    pub fn has_lent(&self, need: &Room) -> bool {
-        self.lent.fits(need)
-    }
-
     /// Whether a task may be sent now.
     pub fn takes(&self, now: time::Duration) -> bool {
         let risked = self.failures >= self.policy.failing && self.runs > 0;
