Reading: evacuated domains are kept in one place, the draw's seed and an agent's slowness reckoned once

The platform's follower kept a set of its own beside the entry's, each with its check of versions; it translates rows into a reading now, and the entry alone keeps them. A placement hashed the job's id for each agent and looked its slowness up twice. An entry's line on what it wants is made by a function of its own.

--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -21,7 +21,7 @@
 const LISTING_WAIT: time::Duration = time::Duration::from_millis(150);
 
 /// How long nothing may be heard while something runs before what there is now is asked for. About what
-/// passes between two ends at an agent with the load of a quiet day (33 ms).
+/// passes between two ends at an agent under an ordinary load (33 ms).
 const LOOK: time::Duration = time::Duration::from_millis(40);
 
 /// How long after an end was listed elsewhere the listing that waits for one may still come.
--- a/src/besteffort/entry/link.rs
+++ b/src/besteffort/entry/link.rs
@@ -87,13 +87,7 @@
                 }
             }
             () = link.news.notified() => {
-                let wants = {
-                    let mut waits = mutex::lock(&inner.waits);
-                    let wants = waits.wants;
-                    waits.asking.said(no, wants.map(|wants| wants.priority));
-                    wants
-                };
-                let mut line = seen.line(link, wants);
+                let mut line = seen.line(link, say_wants(inner, no));
                 let word = mutex::lock(&inner.evacuations).word(&domain);
                 line.evacuation = told.due(clock::since_boot(), word);
                 writer.write(&line).await?;
@@ -103,6 +97,14 @@
     }
 }
 
+/// What waits for room now; the agent of a link is about to hear of it.
+fn say_wants(inner: &Inner, no: LinkNo) -> Option<Wants> {
+    let mut waits = mutex::lock(&inner.waits);
+    let wants = waits.wants;
+    waits.asking.said(no, wants.map(|wants| wants.priority));
+    wants
+}
+
 fn take(inner: &Inner, no: LinkNo, seen: &mut Seen, line: FromAgent) {
     let now = clock::since_boot();
     seen.agent_ms = line.now_ms;
--- a/src/besteffort/entry/mod.rs
+++ b/src/besteffort/entry/mod.rs
@@ -5,7 +5,7 @@
 
 mod link;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -20,7 +20,7 @@
 use crate::clock;
 use crate::decide::besteffort::asking::Asking;
 use crate::decide::besteffort::board::{Action, Admitted, Board, Counts, Membership};
-use crate::decide::besteffort::evacuation::Evacuations;
+use crate::decide::besteffort::evacuation::{Evacuations, Reading};
 use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Submission};
 use crate::decide::besteffort::lease::Bounds;
 use crate::decide::besteffort::message::{EntryName, FromEntry, Wants};
@@ -164,14 +164,20 @@
         carry_out(&self.inner);
     }
 
-    /// Says which failure domains operators have evacuated, as read at a version of the store. Agents
-    /// hear of a change at once.
-    pub fn evacuated(&self, version: u64, domains: &BTreeSet<CompactString>) {
-        if !mutex::lock(&self.inner.evacuations).read(version, domains) {
+    /// Says which failure domains operators have evacuated. Agents hear of a change at once.
+    pub fn evacuated(&self, reading: &Reading) {
+        let mut evacuations = mutex::lock(&self.inner.evacuations);
+        if !evacuations.read(reading) {
             return;
         }
-        let all: Vec<&str> = domains.iter().map(CompactString::as_str).collect();
-        log::info!(domains = all.join(",").as_str(), version = version; "evacuated failure domains");
+        let domains: Vec<&str> = evacuations
+            .domains()
+            .iter()
+            .map(CompactString::as_str)
+            .collect();
+        log::info!(domains = domains.join(",").as_str(), version = reading.version;
+            "evacuated failure domains");
+        drop(evacuations);
         for link in mutex::lock(&self.inner.links).values() {
             link.news.notify_one();
         }
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -169,10 +169,10 @@
         let most = costs.min_by(f64::total_cmp)?
             + job.estimate.as_secs_f64() * self.policy.placement.alike;
         let alike = open.iter().filter(|(cost, _)| *cost <= most);
-        let run = job.run(index, job.next_run);
+        let seed = draw::seed(&job.run(index, job.next_run));
         let drawn = alike.map(|(_, view)| {
             let room = view.free().cpu as f64;
-            (draw::place(&run, &view.agent, room), view)
+            (draw::place(seed, &view.agent, room), view)
         });
         let first = drawn.min_by(|(a, _), (b, _)| a.total_cmp(b));
         first.map(|(_, view)| view.agent.clone())
@@ -191,19 +191,22 @@
                 && view.free().fits(&job.ask.need)
                 && failed_at != Some(&view.agent)
                 && self.has_share(job, view)
-                && !self.too_slow(now, job, view)
         };
-        let cost = |view: &View| {
-            let had_it = task.last.as_ref() == Some(&view.agent);
-            let again = if had_it {
-                self.policy.placement.again
+        let cost = |view: &View, slowness: f64| {
+            let cost = self.cost(job, view, slowness);
+            if task.last.as_ref() == Some(&view.agent) {
+                cost * self.policy.placement.again
             } else {
-                1.0
-            };
-            self.cost(job, view) * again
+                cost
+            }
         };
         let open = self.agents.values().filter(is_open);
-        open.map(|view| (cost(view), view)).collect()
+        open.filter_map(|view| {
+            let slowness = self.learned.slowness(&view.agent);
+            let slow = self.too_slow(now, job, slowness);
+            (!slow).then(|| (cost(view, slowness), view))
+        })
+        .collect()
     }
 
     fn has_other(&self, job: &Job) -> bool {
@@ -220,15 +223,14 @@
         (here.count() as u32) < most
     }
 
-    fn too_slow(&self, now: time::Duration, job: &Job, view: &View) -> bool {
-        let slowness = self.learned.slowness(&view.agent);
+    fn too_slow(&self, now: time::Duration, job: &Job, slowness: f64) -> bool {
         slowness > self.policy.placement.slow
             && now + job.estimate.mul_f64(slowness) > job.latest + job.estimate
     }
 
-    /// Expected run time of a task at an agent, in seconds.
-    pub(super) fn cost(&self, job: &Job, view: &View) -> f64 {
-        let mut cost = job.estimate.as_secs_f64() * self.learned.slowness(&view.agent);
+    /// Expected run time of a task at an agent of some slowness, in seconds.
+    pub(super) fn cost(&self, job: &Job, view: &View, slowness: f64) -> f64 {
+        let mut cost = job.estimate.as_secs_f64() * slowness;
         let near = job.ask.near.as_ref();
         if near.is_some_and(|label| !view.backend.labels.contains(label)) {
             cost *= self.policy.placement.far;
--- a/src/decide/besteffort/board/rescue.rs
+++ b/src/decide/besteffort/board/rescue.rs
@@ -70,7 +70,7 @@
         // Where all are full a task goes to the head of the queue, and room comes free every few
         // milliseconds.
         let best = others
-            .map(|v| self.cost(job, v) / estimate * work)
+            .map(|v| self.cost(job, v, self.learned.slowness(&v.agent)) / estimate * work)
             .fold(f64::INFINITY, f64::min);
         let elsewhere = best + self.policy.rescue.cost.as_secs_f64();
         let end = now + time::Duration::from_secs_f64(elsewhere.min(1e6));
--- a/src/decide/besteffort/draw.rs
+++ b/src/decide/besteffort/draw.rs
@@ -10,17 +10,21 @@
 
 use crate::decide::besteffort::message::Run;
 
-/// A number from 0 to 1, the same each time for one run and agent, so that the same events have the
-/// same effects.
-fn uniform(run: &Run, agent: &str) -> f64 {
-    let seed = xxh3::xxh3_64(run.job.as_bytes()) ^ run.number.rotate_left(32) ^ u64::from(run.task);
+/// What the draws for a run depend on; the same each time, so that the same events have the same
+/// effects.
+pub fn seed(run: &Run) -> u64 {
+    xxh3::xxh3_64(run.job.as_bytes()) ^ run.number.rotate_left(32) ^ u64::from(run.task)
+}
+
+/// A number from 0 to 1.
+fn uniform(seed: u64, agent: &str) -> f64 {
     let hash = xxh3::xxh3_64_with_seed(agent.as_bytes(), seed);
     // The upper 53 bits are what fits a float; never 0, whose logarithm isn't finite.
     ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
 }
 
-/// The place of an agent in the draw for a run; the least wins. Of agents with `room` each wins with a
+/// The place of an agent in the draw of a seed; the least wins. Of agents with `room` each wins with a
 /// chance in proportion to it (the least of exponential times whose rates are the rooms).
-pub fn place(run: &Run, agent: &str, room: f64) -> f64 {
-    -uniform(run, agent).ln() / room.max(f64::MIN_POSITIVE)
+pub fn place(seed: u64, agent: &str, room: f64) -> f64 {
+    -uniform(seed, agent).ln() / room.max(f64::MIN_POSITIVE)
 }
--- a/src/decide/besteffort/evacuation.rs
+++ b/src/decide/besteffort/evacuation.rs
@@ -27,6 +27,17 @@
     pub evacuated: bool,
 }
 
+/// What one look at the platform's store brought.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Reading {
+    /// The newest version of the store then.
+    pub version: u64,
+    /// Whether these are all domains that are evacuated, not only those of which that has changed.
+    pub whole: bool,
+    /// Failure domains, and whether each is evacuated.
+    pub domains: Vec<(CompactString, bool)>,
+}
+
 /// What an entry knows of all failure domains.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Evacuations {
@@ -35,18 +46,30 @@
 }
 
 impl Evacuations {
-    /// Takes in which domains were evacuated at a version of the store; an older version is passed
-    /// over. Returns whether any domain was evacuated or taken back.
-    pub fn read(&mut self, version: u64, domains: &BTreeSet<CompactString>) -> bool {
-        if version < self.version {
+    /// Takes in a reading; one that is older than what is known is passed over. Returns whether any domain
+    /// was evacuated or taken back.
+    pub fn read(&mut self, reading: &Reading) -> bool {
+        if reading.version < self.version {
             return false;
         }
-        self.version = version;
-        let changed = self.domains != *domains;
-        if changed {
-            self.domains.clone_from(domains);
+        self.version = reading.version;
+        let before = self.domains.clone();
+        if reading.whole {
+            self.domains.clear();
         }
-        changed
+        for (domain, evacuated) in &reading.domains {
+            if *evacuated {
+                self.domains.insert(domain.clone());
+            } else {
+                self.domains.remove(domain);
+            }
+        }
+        self.domains != before
+    }
+
+    /// The domains that are evacuated.
+    pub fn domains(&self) -> &BTreeSet<CompactString> {
+        &self.domains
     }
 
     /// What to tell the agents of a domain; nothing before anything was read.
--- a/tests/besteffort_evacuation.rs
+++ b/tests/besteffort_evacuation.rs
@@ -2,11 +2,9 @@
 
 mod support;
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use compact_str::CompactString;
-use lovagemill::decide::besteffort::evacuation::{Evacuations, Told, Word};
+use lovagemill::decide::besteffort::evacuation::{Evacuations, Reading, Told, Word};
 use lovagemill::decide::besteffort::lease::Bounds;
 use lovagemill::decide::besteffort::message::{How, Run};
 use lovagemill::decide::besteffort::slots::{Checked, Order, Slots, StartAnswer};
@@ -19,11 +17,22 @@
     Duration::from_millis(at)
 }
 
-fn domains(names: &[&str]) -> BTreeSet<CompactString> {
-    names
-        .iter()
-        .map(|name| CompactString::from(*name))
-        .collect()
+/// All domains that are evacuated.
+fn whole(version: u64, names: &[&str]) -> Reading {
+    Reading {
+        version,
+        whole: true,
+        domains: names.iter().map(|name| ((*name).into(), true)).collect(),
+    }
+}
+
+/// One domain that was evacuated or taken back.
+fn change(version: u64, name: &str, evacuated: bool) -> Reading {
+    Reading {
+        version,
+        whole: false,
+        domains: vec![(name.into(), evacuated)],
+    }
 }
 
 fn word(version: u64, evacuated: bool) -> Word {
@@ -143,15 +152,21 @@
 fn what_an_entry_has_read() {
     let mut known = Evacuations::default();
     assert_eq!(known.word("a"), None, "nothing was read yet");
-    assert!(!known.read(5, &domains(&[])));
+    assert!(!known.read(&whole(5, &[])));
     assert_eq!(known.word("a"), Some(word(5, false)));
-    assert!(known.read(7, &domains(&["a"])));
-    assert!(!known.read(8, &domains(&["a"])), "no news");
-    assert!(!known.read(6, &domains(&[])), "overtaken");
+    assert!(known.read(&whole(7, &["a"])));
+    assert!(!known.read(&whole(8, &["a"])), "no news");
+    assert!(!known.read(&whole(6, &[])), "overtaken");
     assert_eq!(known.word("a"), Some(word(8, true)));
     assert_eq!(known.word("b"), Some(word(8, false)));
-    assert!(known.read(9, &domains(&["b"])));
+    assert!(known.read(&whole(9, &["b"])));
     assert_eq!(known.word("a"), Some(word(9, false)));
+    assert!(known.read(&change(10, "a", true)), "beside the other");
+    assert_eq!(known.word("b"), Some(word(10, true)));
+    assert!(known.read(&change(11, "b", false)));
+    assert!(!known.read(&change(10, "b", true)), "overtaken");
+    assert_eq!(known.word("a"), Some(word(11, true)));
+    assert_eq!(known.word("b"), Some(word(11, false)));
 }
 
 /// A failure domain stays without work for good. It was evacuated and taken back between two looks of one
