--- a/examples/fair_queue.rs
+++ b/examples/fair_queue.rs
@@ -1,4 +1,4 @@
-//! Fair shares without weights: one customer floods the queue, another sends little.
+//! Fair shares without weights: one client account floods the queue, another sends little.
 //!
 //! Run with `cargo run --example fair_queue`.
 
@@ -27,7 +27,7 @@
     queue.push(now, &customer.into(), &job.into(), deadline, tasks);
 }
 
-/// Tells the customers that fit beside the largest one from those that don't, by what they ask for.
+/// Tells the client accounts that fit beside the largest one from those that don't, by what they ask for.
 fn classify(queue: &mut Queue, now: time::Instant) {
     let mut demand = Demand::open(now);
     demand.offer(now, &"rede-estadual".into(), 1_000.0 * RUN.as_secs_f64());
@@ -51,7 +51,7 @@
             "large" => "rede-estadual".into(),
             _ => "canoas".into(),
         };
-        // The queue is told what a customer uses; it never asks for weights.
+        // The queue is told what a client account uses; it never asks for weights.
         queue.started(&customer);
         queue.charge(now, &customer, RUN.as_secs_f64());
         if task.id.job == job {
@@ -69,6 +69,6 @@
     println!("  fair shares:         {fair}");
     assert_eq!(fifo, 1_010, "the small job waits for all of the large one");
     assert!(fair <= 20, "the small job waits for about its own length");
-    // The large customer loses nothing but that: the slots are never idle while it has work.
+    // The large client account loses nothing but that: the slots are never idle while it has work.
     assert_eq!(served_until(Policy::Fair, "large"), 1_010);
 }
--- a/src/bench/decisions.rs
+++ b/src/bench/decisions.rs
@@ -43,7 +43,7 @@
     pub agents: usize,
     /// Slots of each.
     pub slots: u32,
-    /// Customers.
+    /// Client accounts.
     pub customers: usize,
     /// Tasks of a job.
     pub tasks: usize,
--- a/src/class.rs
+++ b/src/class.rs
@@ -1,6 +1,6 @@
-//! The configuration document: classes of work with their targets, and quotas of customers.
+//! The configuration document: classes of work with their targets, and quotas of client accounts.
 //!
-//! It is all that operators set (`docs/CONFIG.md`). There is no place for weights of customers or
+//! It is all that operators set (`docs/CONFIG.md`). There is no place for weights of client accounts or
 //! names of backend servers, by intent.
 
 use std::collections::BTreeSet;
@@ -40,11 +40,11 @@
     }
 }
 
-/// The quota of one customer. A customer without one is bounded by the class targets only.
+/// The quota of one client account. A client account without one is bounded by the class targets only.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Quota {
-    /// The customer.
+    /// The client account.
     pub customer: id::Customer,
     /// Most tasks that may wait at a time, over all classes.
     pub waiting_tasks: i64,
@@ -114,7 +114,7 @@
         self.classes.iter().find(|class| class.name == name)
     }
 
-    /// Finds a customer's quota.
+    /// Finds a client account's quota.
     pub fn quota(&self, customer: &str) -> Option<&Quota> {
         self.quotas.iter().find(|quota| quota.customer == customer)
     }
@@ -214,7 +214,7 @@
     }
 }
 
-/// Tells whether a text may name a class or customer.
+/// Tells whether a text may name a class or client account.
 pub fn is_name(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     (1..=64).contains(&text.len()) && text.chars().all(allowed)
--- a/src/decide/backlog.rs
+++ b/src/decide/backlog.rs
@@ -1,4 +1,4 @@
-//! The work that waits for one customer, by deadline, and whether more of it can be done in time.
+//! The work that waits for one client account, by deadline, and whether more of it can be done in time.
 
 use std::collections::BTreeMap;
 use std::time;
@@ -10,7 +10,7 @@
 /// bears the error of the forecast; `docs/design/overload.md` has the figures.
 pub const HEADROOM: f64 = 0.4;
 
-/// Waiting work of one customer.
+/// Waiting work of one client account.
 #[derive(Clone, Debug, Default)]
 pub struct Backlog {
     /// Seconds of slot time, by deadline in units of [`GRAIN`].
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -1,6 +1,6 @@
-//! Who yields: how much slot time each customer has lately asked for, whether it got it or not.
+//! Who yields: how much slot time each client account has lately asked for, whether it got it or not.
 //!
-//! Used time alone can't tell the customer that floods the system from one that merely uses its
+//! Used time alone can't tell the client account that floods the system from one that merely uses its
 //! part: under overload both may use the same. Offered work can. `docs/design/queue.md` compares
 //! the two.
 
@@ -12,17 +12,17 @@
 /// Time constant with which offered work fades.
 pub const WINDOW: time::Duration = time::Duration::from_secs(10);
 
-/// How often customers are sorted anew.
+/// How often client accounts are sorted anew.
 pub const REFRESH: time::Duration = time::Duration::from_millis(100);
 
 /// Shortest time over which a rate is worked out, so that the first job isn't taken for a flood.
 const MIN_SPAN: f64 = 0.25;
 
-/// How many times more the next customer must offer for those below it to go before it beyond
+/// How many times more the next client account must offer for those below it to go before it beyond
 /// their equal share.
 const GAP: f64 = 2.0;
 
-/// By how much such customers may together seem to exceed the capacity, since a burst of them does
+/// By how much such client accounts may together seem to exceed the capacity, since a burst of them does
 /// so for a while.
 const BURST: f64 = 1.15;
 
@@ -32,7 +32,7 @@
 /// Rates below this share of a slot are forgotten.
 const NEGLIGIBLE: f64 = 1e-4;
 
-/// What the customers of one cell ask for.
+/// What the client accounts of one cell ask for.
 #[derive(Clone, Debug)]
 pub struct Demand {
     opened: time::Instant,
@@ -49,7 +49,7 @@
     /// Slot time in seconds, faded up to `at`.
     work: f64,
     at: time::Instant,
-    /// What a heavy customer may count on, in slots; none for a light one.
+    /// What a heavy client account may count on, in slots; none for a light one.
     share: Option<f64>,
 }
 
@@ -74,7 +74,7 @@
         }
     }
 
-    /// Notes work that a customer asks for, in seconds of slot time; refused work counts as well.
+    /// Notes work that a client account asks for, in seconds of slot time; refused work counts as well.
     pub fn offer(&mut self, now: time::Instant, customer: &id::Customer, seconds: f64) {
         let offered = self
             .customers
@@ -89,26 +89,26 @@
         self.job += JOB_GAIN * (seconds - self.job);
     }
 
-    /// Tells whether a customer goes before the heavy ones; true for one never seen.
+    /// Tells whether a client account goes before the heavy ones; true for one never seen.
     pub fn is_light(&self, customer: &id::Customer) -> bool {
         self.customers
             .get(customer)
             .is_none_or(|offered| offered.share.is_none())
     }
 
-    /// Slots that a heavy customer may count on; none for a light one.
+    /// Slots that a heavy client account may count on; none for a light one.
     pub fn share(&self, customer: &id::Customer) -> Option<f64> {
         self.customers
             .get(customer)
             .and_then(|offered| offered.share)
     }
 
-    /// Light customers that have asked for anything of late.
+    /// Light client accounts that have asked for anything of late.
     pub fn light(&self) -> usize {
         self.light
     }
 
-    /// Slots that the light customers together ask for.
+    /// Slots that the light client accounts together ask for.
     pub fn light_rate(&self) -> f64 {
         self.light_rate
     }
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Sorts the customers anew where that is due. Returns those that changed, and whether each is
+    /// Sorts the client accounts anew where that is due. Returns those that changed, and whether each is
     /// light now.
     pub fn refresh(&mut self, now: time::Instant, slots: u32) -> Vec<(id::Customer, bool)> {
         if now.saturating_duration_since(self.refreshed) < REFRESH {
@@ -151,13 +151,13 @@
         changed
     }
 
-    /// By how much the light customers may exceed their rate for as long as a job waits: the
+    /// By how much the light client accounts may exceed their rate for as long as a job waits: the
     /// standard deviation of jobs that arrive at random.
     fn scatter(&self) -> f64 {
         (self.light_rate * self.job / WINDOW.as_secs_f64()).sqrt()
     }
 
-    /// Slots that each customer asks for, without those that ask for next to nothing.
+    /// Slots that each client account asks for, without those that ask for next to nothing.
     fn rates(&mut self, now: time::Instant) -> Vec<(id::Customer, f64)> {
         let window = WINDOW.as_secs_f64();
         let age = now.saturating_duration_since(self.opened).as_secs_f64();
@@ -173,7 +173,7 @@
     }
 }
 
-/// How many of the customers, least first, go before the others.
+/// How many of the client accounts, least first, go before the others.
 ///
 /// One is light if an equal share of what lighter ones leave would do for it, or if all up to it
 /// fit together and whoever comes next offers far more.
--- a/src/decide/estimate.rs
+++ b/src/decide/estimate.rs
@@ -1,4 +1,4 @@
-//! Run times learned per customer and kind of task; what callers declare is only a prior.
+//! Run times learned per client account and kind of task; what callers declare is only a prior.
 //!
 //! Two forecasts compete for each pair: the mean of what was observed, and the declared value
 //! corrected by its mean error. The declared one is used only while it is clearly the better of
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -58,7 +58,7 @@
 /// elsewhere, and barring them would only take away what is left.
 const MAX_BARRED: f64 = 0.5;
 
-/// Most customers whose failures are told apart from the workers'.
+/// Most client accounts whose failures are told apart from the workers'.
 const MAX_CUSTOMERS: usize = 10_000;
 
 /// How a task ended at a worker, as far as it tells of the worker.
@@ -288,8 +288,8 @@
         self.bars.insert((until, agent.clone()));
     }
 
-    /// Tells whether a failure is more likely the customer's own: its tasks fail on workers that
-    /// are well for others. Without this one customer's broken input would bar all workers.
+    /// Tells whether a failure is more likely the client account's own: its tasks fail on workers that
+    /// are well for others. Without this one client account's broken input would bar all workers.
     fn is_customers_fault(&mut self, agent: &id::AgentId, customer: &id::Customer) -> bool {
         let suspect = self.records[agent].limit < WELL;
         if self.customers.len() >= MAX_CUSTOMERS {
--- a/src/decide/line.rs
+++ b/src/decide/line.rs
@@ -1,4 +1,4 @@
-//! The waiting jobs of one customer whose tasks take alike of a worker, in order.
+//! The waiting jobs of one client account whose tasks take alike of a worker, in order.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time;
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -52,7 +52,7 @@
     pub id: task::Id,
     /// Counts the starts of the job's tasks in this epoch.
     pub attempt: u32,
-    /// Its customer.
+    /// Its client account.
     pub customer: id::Customer,
     /// Milliseconds until its answer is worthless.
     pub deadline_ms: u64,
--- a/src/decide/owner/admission.rs
+++ b/src/decide/owner/admission.rs
@@ -115,7 +115,7 @@
         waiting == 0 && self.fleet.free_slots() as usize >= job.tasks.len()
     }
 
-    /// How much too late a job would end, or make others of its customer end; nothing where all is
+    /// How much too late a job would end, or make others of its client account end; nothing where all is
     /// in time. This is also how long the caller had better wait before it asks again.
     fn lateness(
         &self,
@@ -142,7 +142,7 @@
         time::Duration::from_secs_f64(late.max(0.0))
     }
 
-    /// How long a customer's new task would wait for a slot.
+    /// How long a client account's new task would wait for a slot.
     pub(super) fn wait_of(&self, customer: &id::Customer) -> time::Duration {
         let slots = f64::from(self.fleet.slots());
         if slots == 0.0 {
@@ -151,7 +151,7 @@
         let seconds = match (self.policy.queue, self.demand.share(customer)) {
             (queue::Policy::Fifo, _) => self.queue.seconds() / slots,
             (_, Some(rate)) => self.queue.backlog(customer) / rate,
-            // Whatever others say of their tasks, a customer's own backlog bounds its wait.
+            // Whatever others say of their tasks, a client account's own backlog bounds its wait.
             (_, None) => {
                 let own = self.queue.backlog(customer) * (self.demand.light() + 1) as f64;
                 self.queue.light_seconds().min(own) / slots
@@ -174,7 +174,7 @@
         work
     }
 
-    /// Tells light customers from heavy ones anew, where that is due.
+    /// Tells light client accounts from heavy ones anew, where that is due.
     pub(super) fn sort_customers(&mut self, now: time::Instant) {
         for (customer, light) in self.demand.refresh(now, self.fleet.slots()) {
             self.queue.classify(&customer, light);
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -1,6 +1,6 @@
-//! Who goes next, without weights: light customers first, heavy ones by what they have used.
+//! Who goes next, without weights: light client accounts first, heavy ones by what they have used.
 //!
-//! Customers that together fit beside the largest ones are light ([`demand`](crate::decide::demand)
+//! Client accounts that together fit beside the largest ones are light ([`demand`](crate::decide::demand)
 //! tells); their tasks go first, the one with the least slack before the others. The heavy ones
 //! share what is left by used slot time, which fades with a time constant of [`usage::FADE`].
 //! `docs/design/queue.md` compares this with the baselines.
@@ -18,22 +18,22 @@
 use crate::id;
 use crate::task;
 
-/// Tasks of light customers after which one of a heavy customer goes first, so that these are never
-/// starved where the light ones alone exceed the capacity for long.
+/// Tasks of light client accounts after which one of a heavy client account goes first, so that these
+/// are never starved where the light ones alone exceed the capacity for long.
 const LIGHT_RUN: u32 = 50;
 
 /// How the next task is chosen; the baselines stay runnable beside the chosen policy.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
-    /// Light customers first, the others by used slot time.
+    /// Light client accounts first, the others by used slot time.
     #[default]
     Fair,
-    /// Baseline: all customers by used slot time.
+    /// Baseline: all client accounts by used slot time.
     LeastUsed,
     /// Baseline: one queue, first in first out.
     Fifo,
-    /// Baseline: customers in turns.
+    /// Baseline: client accounts in turns.
     RoundRobin,
 }
 
@@ -58,7 +58,7 @@
     tasks: usize,
     seconds: f64,
     light_seconds: f64,
-    /// Tasks of light customers since the last of a heavy one.
+    /// Tasks of light client accounts since the last of a heavy one.
     light_run: u32,
 }
 
@@ -180,7 +180,7 @@
         all
     }
 
-    /// Books slot time, in seconds, on a customer; a negative amount corrects an earlier one.
+    /// Books slot time, in seconds, on a client account; a negative amount corrects an earlier one.
     pub fn charge(&mut self, now: time::Instant, customer: &id::Customer, seconds: f64) {
         let amount = match self.policy {
             Policy::Fair | Policy::LeastUsed => seconds * self.scale(now),
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Notes that a customer's task was started.
+    /// Notes that a client account's task was started.
     pub fn started(&mut self, customer: &id::Customer) {
         if self.heavy.contains(customer) {
             self.light_run = 0;
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Notes whether a customer is light from now on.
+    /// Notes whether a client account is light from now on.
     pub fn classify(&mut self, customer: &id::Customer, light: bool) {
         if self.policy != Policy::Fair {
             return;
@@ -237,14 +237,14 @@
         self.tasks == 0
     }
 
-    /// Waiting tasks of a customer.
+    /// Waiting tasks of a client account.
     pub fn waiting(&self, customer: &id::Customer) -> usize {
         self.backlogs
             .get(customer)
             .map_or(0, backlog::Backlog::tasks)
     }
 
-    /// Slot time that a customer's waiting tasks are thought to take, in seconds.
+    /// Slot time that a client account's waiting tasks are thought to take, in seconds.
     pub fn backlog(&self, customer: &id::Customer) -> f64 {
         self.backlogs
             .get(customer)
@@ -256,19 +256,19 @@
         self.seconds
     }
 
-    /// Slot time that the waiting tasks of light customers are thought to take, in seconds.
+    /// Slot time that the waiting tasks of light client accounts are thought to take, in seconds.
     pub fn light_seconds(&self) -> f64 {
         self.light_seconds
     }
 
-    /// Customers and their waiting tasks.
+    /// Client accounts and their waiting tasks.
     pub fn customers(&self) -> impl Iterator<Item = (&id::Customer, usize)> {
         self.backlogs
             .iter()
             .map(|(customer, backlog)| (customer, backlog.tasks()))
     }
 
-    /// How much too late something of a customer would be, were a job of it added.
+    /// How much too late something of a client account would be, were a job of it added.
     pub fn lateness(
         &self,
         now: time::Instant,
@@ -288,7 +288,7 @@
         at.saturating_duration_since(self.opened)
     }
 
-    /// Books waiting tasks on their customer.
+    /// Books waiting tasks on their client account.
     fn note(&mut self, customer: &id::Customer, deadline: time::Instant, tasks: &[Waiting]) {
         let seconds: f64 = tasks.iter().map(|task| task.estimate.as_secs_f64()).sum();
         let deadline = self.since_opened(deadline);
@@ -301,7 +301,7 @@
         }
     }
 
-    /// Strikes waiting tasks off their customer.
+    /// Strikes waiting tasks off their client account.
     fn strike(
         &mut self,
         customer: &id::Customer,
@@ -359,7 +359,7 @@
         }
     }
 
-    /// Under FIFO all customers stand in one line.
+    /// Under FIFO all client accounts stand in one line.
     fn line_of(&self, customer: &id::Customer) -> id::Customer {
         match self.policy {
             Policy::Fifo => id::Customer::default(),
--- a/src/decide/shape.rs
+++ b/src/decide/shape.rs
@@ -1,4 +1,4 @@
-//! The waiting tasks that take alike of a worker: one line for each customer, in order.
+//! The waiting tasks that take alike of a worker: one line for each client account, in order.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time;
@@ -12,7 +12,7 @@
 pub enum Rank {
     /// By when its first task should start.
     Light(time::Instant),
-    /// The bits of the slot time that its customer has used.
+    /// The bits of the slot time that its client account has used.
     Heavy(u64),
 }
 
--- a/src/decide/usage.rs
+++ b/src/decide/usage.rs
@@ -1,7 +1,7 @@
-//! How much slot time each customer has used, with what is long ago counting less.
+//! How much slot time each client account has used, with what is long ago counting less.
 //!
 //! Instead of fading all that was booked, new bookings weigh more, so that the order of the
-//! customers never changes by itself.
+//! client accounts never changes by itself.
 
 use std::collections::HashMap;
 use std::time;
@@ -31,7 +31,7 @@
         }
     }
 
-    /// What a customer has used, on the scale of all.
+    /// What a client account has used, on the scale of all.
     pub fn of(&self, customer: &id::Customer) -> f64 {
         self.used.get(customer).copied().unwrap_or(0.0)
     }
--- a/src/demo/config.rs
+++ b/src/demo/config.rs
@@ -15,7 +15,7 @@
     pub duration: time::Duration,
     /// Seeds the workload.
     pub seed: u64,
-    /// Work that the largest customer offers, as a share of the capacity.
+    /// Work that the largest client account offers, as a share of the capacity.
     pub dominant_load: f64,
     /// Work that all others offer together, as a share of the capacity.
     pub small_load: f64,
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -1,16 +1,16 @@
-//! The two deployments as they stand today: sizes, latencies, customers and classes.
+//! The two deployments as they stand today: sizes, latencies, client accounts and classes.
 
 use std::time;
 
 use crate::class;
 use crate::task;
 
-/// A customer of a deployment.
+/// A client account of a deployment.
 #[derive(Clone, Debug)]
 pub struct Customer {
     /// Its name.
     pub name: &'static str,
-    /// Its share of the small customers' work; nothing for the dominant one.
+    /// Its share of the small client accounts' work; nothing for the dominant one.
     pub share: f64,
 }
 
@@ -39,7 +39,7 @@
     pub connections: u32,
     /// What a worker has.
     pub capacity: task::Needs,
-    /// The customer that sends more than all others.
+    /// The client account that sends more than all others.
     pub dominant: &'static str,
     /// The others.
     pub small: Vec<Customer>,
--- a/src/demo/inject.rs
+++ b/src/demo/inject.rs
@@ -175,7 +175,7 @@
     behave(Conduct::Run).await;
 }
 
-/// Submits many jobs of the largest customer and withdraws all of them, through any entries.
+/// Submits many jobs of the largest client account and withdraws all of them, through any entries.
 async fn cancel_wave(scene: &Scene) {
     let class = scene.deployment.job_class;
     let target = scene.deployment.config.class(class).map(|c| c.target());
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -16,7 +16,7 @@
     pub faults: Vec<Fault>,
     /// The seed of the workload.
     pub seed: u64,
-    /// Work offered by the largest customer, as a share of the capacity.
+    /// Work offered by the largest client account, as a share of the capacity.
     pub dominant_load: f64,
     /// Work offered by all others, as a share of the capacity.
     pub small_load: f64,
@@ -62,9 +62,9 @@
     pub config_broken: u64,
     /// Longest time from an acceptance until every entry had the version.
     pub config_spread_seconds: f64,
-    /// All customers but the largest, as one.
+    /// All client accounts but the largest, as one.
     pub small: CustomerReport,
-    /// Per customer.
+    /// Per client account.
     pub customers: BTreeMap<id::Customer, CustomerReport>,
     /// Messages by kind.
     pub messages: BTreeMap<&'static str, u64>,
@@ -76,7 +76,7 @@
     pub slots_used: f64,
 }
 
-/// One customer's report.
+/// One client account's report.
 #[derive(Clone, Debug, Serialize)]
 pub struct CustomerReport {
     /// Jobs and requests answered completely.
--- a/src/demo/scene.rs
+++ b/src/demo/scene.rs
@@ -51,7 +51,7 @@
     pub table: Arc<Table>,
     /// Callers and operators.
     pub caller: Caller,
-    /// Sizes and customers.
+    /// Sizes and client accounts.
     pub deployment: Deployment,
     /// How long a fault lasts.
     pub outage: time::Duration,
--- a/src/demo/tally.rs
+++ b/src/demo/tally.rs
@@ -310,7 +310,7 @@
         Some(last.map_or(time::Duration::ZERO, |(number, _)| BUCKET * (number + 1)))
     }
 
-    /// All customers but the dominant one, as one.
+    /// All client accounts but the dominant one, as one.
     fn small(&self, dominant: &str) -> CustomerReport {
         let mut all = PerCustomer::default();
         for (_, c) in self.customers.iter().filter(|(name, _)| *name != dominant) {
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -61,7 +61,7 @@
     pub free_slots: u32,
     /// The agents, each beside its backend server.
     pub agents: BTreeMap<id::AgentId, AgentStatus>,
-    /// Waiting tasks by customer.
+    /// Waiting tasks by client account.
     pub customers: BTreeMap<id::Customer, usize>,
 }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -14,7 +14,7 @@
 /// Names a class of work; from the configuration document.
 pub type ClassName = CompactString;
 
-/// Names a customer; from the caller's request.
+/// Names a client account; from the caller's request.
 pub type Customer = CompactString;
 
 /// Names one entry process; from its settings.
@@ -26,7 +26,7 @@
 /// Tells two lives of one process apart. Chosen at random when a process starts.
 pub type Incarnation = u64;
 
-/// A customer's submission key, prefixed with the customer so that two never meet.
+/// A client account's submission key, prefixed with the client account so that two never meet.
 pub type JobKey = CompactString;
 
 /// Tells the links of a process apart; chosen at random by the side that connects.
--- a/src/key.rs
+++ b/src/key.rs
@@ -10,7 +10,7 @@
 /// Longest submission key taken from a caller, in bytes.
 pub const MAX_KEY_BYTES: usize = 128;
 
-/// Scopes a caller's key to its customer, so that two customers can't collide or read each other.
+/// Scopes a caller's key to its client account, so that two client accounts can't collide or read each other.
 pub fn scoped(customer: &str, key: &str) -> id::JobKey {
     format_compact!("{customer}/{key}")
 }
--- a/src/standin/truth.rs
+++ b/src/standin/truth.rs
@@ -36,7 +36,7 @@
     pub work_after_leave: u64,
     /// Jobs with a run that was cut off.
     pub cut_off: Vec<id::JobKey>,
-    /// Slot time by customer, in microseconds.
+    /// Slot time by client account, in microseconds.
     pub slot_micros: HashMap<id::Customer, u64>,
 }
 
@@ -94,7 +94,7 @@
         self.lock().cancelled.insert(job.clone());
     }
 
-    /// Books slot time on a customer.
+    /// Books slot time on a client account.
     pub fn used(&self, customer: &str, micros: u64) {
         *self.lock().slot_micros.entry(customer.into()).or_default() += micros;
     }
@@ -136,7 +136,7 @@
         self.lock().workers_died
     }
 
-    /// Slot time by customer, in microseconds.
+    /// Slot time by client account, in microseconds.
     pub fn slot_micros(&self) -> HashMap<id::Customer, u64> {
         self.lock().slot_micros.clone()
     }
--- a/src/task.rs
+++ b/src/task.rs
@@ -9,7 +9,7 @@
 /// Names one task over the whole system.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Id {
-    /// The job, with its customer's prefix.
+    /// The job, with its client account's prefix.
     pub job: id::JobKey,
     /// The task's place in the job.
     pub index: id::TaskIndex,
--- a/src/wire/backend.rs
+++ b/src/wire/backend.rs
@@ -22,7 +22,7 @@
 pub const JOB: &str = "lovagemill-job";
 /// Header: the task's index in its job.
 pub const INDEX: &str = "lovagemill-task";
-/// Header: the customer.
+/// Header: the client account.
 pub const CUSTOMER: &str = "lovagemill-customer";
 /// Header: milliseconds until the answer is worthless.
 pub const DEADLINE: &str = "lovagemill-deadline-ms";
@@ -52,7 +52,7 @@
     pub addr: CompactString,
     /// The task.
     pub id: task::Id,
-    /// Its customer.
+    /// Its client account.
     pub customer: CompactString,
     /// Milliseconds until its answer is worthless.
     pub deadline_ms: u64,
--- a/src/wire/objects.rs
+++ b/src/wire/objects.rs
@@ -44,7 +44,7 @@
 /// reference.
 ///
 /// Guards against a caller or a backend server that writes a reference of its own and would so be
-/// given another customer's object: what they write is always a value, never a reference.
+/// given another client account's object: what they write is always a value, never a reference.
 pub fn goes_outside(value: &RawValue, limit: usize) -> bool {
     value.get().len() > limit || reference(value).is_some()
 }
--- a/tests/contract_objects.rs
+++ b/tests/contract_objects.rs
@@ -172,7 +172,7 @@
     });
 }
 
-/// One customer reads another's answers.
+/// One client account reads another's answers.
 /// It writes as its input what stands for a stored object inside messages, and the backend server
 /// repeats it; both would be replaced by the object of that name.
 #[test]
--- a/tests/decide_health.rs
+++ b/tests/decide_health.rs
@@ -80,7 +80,7 @@
     assert!(back >= 10, "{back} of 40");
 }
 
-/// One customer sends input on which every task fails, on every worker. The workers are well, and
+/// One client account sends input on which every task fails, on every worker. The workers are well, and
 /// nobody else may lose them.
 #[test]
 fn broken_input_of_one_customer_bars_no_worker() {
--- a/tests/decide_learning.rs
+++ b/tests/decide_learning.rs
@@ -41,7 +41,7 @@
     assert!((280..320).contains(&guess.as_millis()), "{guess:?}");
 }
 
-/// A customer without history is believed, and one without a declaration gets a default.
+/// A client account without history is believed, and one without a declaration gets a default.
 #[test]
 fn declared_value_is_the_prior() {
     let estimates = Estimates::default();
--- a/tests/decide_overload.rs
+++ b/tests/decide_overload.rs
@@ -7,7 +7,7 @@
 use decide_support as fake;
 use lovagemill::code::Code;
 
-/// The dominant customer offers three times the capacity for 20 s. Work that was taken in must end
+/// The dominant client account offers three times the capacity for 20 s. Work that was taken in must end
 /// in time, and the rest must hear so in the same moment, with a time to come back: a refusal that
 /// is held back is worth nothing to the caller.
 #[test]
@@ -36,7 +36,7 @@
     assert!(fake.starts.len() >= 1_040, "{}", fake.starts.len());
 }
 
-/// One customer declares absurd run times. Its neighbours' jobs must not be refused for a backlog
+/// One client account declares absurd run times. Its neighbours' jobs must not be refused for a backlog
 /// that exists in its declarations only.
 #[test]
 fn absurd_declarations_refuse_nobody_else() {
@@ -116,7 +116,7 @@
     assert!(honest.contains(&refusal.code), "{refusal:?}");
 }
 
-/// The only customer there is sends long tasks to a system that stands half idle. Its own work
+/// The only client account there is sends long tasks to a system that stands half idle. Its own work
 /// alone made it look like a flood, and it was refused while there was a free slot for every task.
 #[test]
 fn job_that_finds_its_slots_free_is_never_refused() {
--- a/tests/decide_queue.rs
+++ b/tests/decide_queue.rs
@@ -1,4 +1,4 @@
-//! Who goes next: light customers before the dominant one, which gets all that they leave.
+//! Who goes next: light client accounts before the dominant one, which gets all that they leave.
 
 mod decide_support;
 
@@ -6,7 +6,7 @@
 
 use decide_support as fake;
 
-/// Floods an owner for a while, as a customer that offers several times the capacity does.
+/// Floods an owner for a while, as a client account that offers several times the capacity does.
 fn flood(fake: &mut fake::Fake, customer: &str, jobs: usize, every: Duration) {
     for _ in 0..jobs {
         fake.submit(customer, fake::tasks(10, 300, 300));
@@ -29,7 +29,7 @@
     assert!(fake.is_complete(job));
 }
 
-/// A small customer that uses more than the dominant one gets, since others use most of the
+/// A small client account that uses more than the dominant one gets, since others use most of the
 /// capacity, must still go first: by used time alone it would have to compete with the flood.
 #[test]
 fn customer_that_used_more_but_offers_less_goes_first() {
@@ -47,7 +47,7 @@
     assert_eq!(fake.starts_of("town", before), 4);
 }
 
-/// The dominant customer alone, or with idle small ones, uses every slot.
+/// The dominant client account alone, or with idle small ones, uses every slot.
 #[test]
 fn dominant_customer_gets_all_that_others_leave() {
     let mut fake = fake::open(2);
@@ -60,7 +60,7 @@
     assert_eq!(fake.starts_of("town", from), 1);
 }
 
-/// Small customers burst beyond the capacity for long. The dominant one, which asks for far more,
+/// Small client accounts burst beyond the capacity for long. The dominant one, which asks for far more,
 /// would get nothing at all; one task in some fifty is its own.
 #[test]
 fn heavy_customer_is_never_starved() {
@@ -80,7 +80,7 @@
     assert!(state * 5 <= all, "{state} of {all}");
 }
 
-/// Two large customers offer far more than there is; neither may starve the other, whichever
+/// Two large client accounts offer far more than there is; neither may starve the other, whichever
 /// offers a little more.
 #[test]
 fn two_heavy_customers_share_alike() {
--- a/tests/decide_support/mod.rs
+++ b/tests/decide_support/mod.rs
@@ -81,7 +81,7 @@
     })
 }
 
-/// A job under a key, which begins with its customer.
+/// A job under a key, which begins with its client account.
 pub fn submission(
     key: &str,
     minted_ms: Option<u64>,
@@ -222,7 +222,7 @@
         matches!(ending, Some(submission::Ending::Complete(_)))
     }
 
-    /// Starts of a customer from the `from`th start on.
+    /// Starts of a client account from the `from`th start on.
     pub fn starts_of(&self, customer: &str, from: usize) -> usize {
         let prefix = format!("{customer}/");
         let starts = self.starts[from..].iter();
