Agents tell of words of their backend server that they pass over

On-call engineers couldn't tell whether an agent had heard a backend server's leave and gone on, or taken it for a late word: what is passed over left no trace. No decision changes.

--- a/src/besteffort/agent/mod.rs
+++ b/src/besteffort/agent/mod.rs
@@ -24,7 +24,7 @@
 use crate::clock;
 use crate::decide::besteffort::lease::{self, Bounds};
 use crate::decide::besteffort::message::{Backend, EntryName, Room, Run};
-use crate::decide::besteffort::slots::{Counts, Listing, Slots, StartAnswer};
+use crate::decide::besteffort::slots::{Counts, Listing, PassedOver, Slots, StartAnswer};
 use crate::id;
 use crate::mutex;
 
@@ -161,6 +161,11 @@
         tell_all(&self.inner);
     }
 
+    /// A word of the backend server was passed over.
+    pub fn passed_over(&self, word: PassedOver) {
+        mutex::lock(&self.inner.slots).passed_over(word);
+    }
+
     /// The life of the backend server that is known; empty before any.
     pub fn instance(&self) -> CompactString {
         mutex::lock(&self.inner.slots).instance()
--- a/src/decide/besteffort/slots/counts.rs
+++ b/src/decide/besteffort/slots/counts.rs
@@ -4,6 +4,25 @@
 
 use crate::metrics;
 
+/// Words of the backend server that are passed over since a newer one is known.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum PassedOver {
+    /// What it says of itself.
+    Heartbeat,
+    /// What it says that it has.
+    Listing,
+}
+
+impl PassedOver {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            PassedOver::Heartbeat => "heartbeat",
+            PassedOver::Listing => "listing",
+        }
+    }
+}
+
 /// The counts.
 #[derive(Clone, Debug, Default)]
 pub struct Counts {
@@ -17,4 +36,7 @@
     pub lost: BTreeMap<&'static str, u64>,
     /// Lives of the backend server that were taken up.
     pub lives: u64,
+    /// Words of it that came too late to tell anything. Some are overtaken now and then; many on end tell
+    /// of a backend server that isn't believed.
+    pub passed_over: BTreeMap<PassedOver, u64>,
 }
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -22,7 +22,7 @@
 use crate::decide::besteffort::lease::{Bounds, Lease};
 use crate::decide::besteffort::message::{Backend, Ended, EntryName, How, Room, Run, Wants};
 
-pub use counts::Counts;
+pub use counts::{Counts, PassedOver};
 use held::{Held, State};
 pub use lives::{Check, Checked};
 pub use order::{Listing, Order, StartAnswer};
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -6,7 +6,7 @@
 use crate::decide::besteffort::lease;
 use crate::decide::besteffort::message::{How, Run};
 use crate::decide::besteffort::slots::{
-    millis, Held, Listing, Slots, StartAnswer, State, STOP_AGAIN,
+    millis, Held, Listing, PassedOver, Slots, StartAnswer, State, STOP_AGAIN,
 };
 
 /// Part of the lease after which a renewal that wasn't answered is sent once more, on its own; the
@@ -66,6 +66,11 @@
                 .overdue(now, self.bounds.lease.mul_f64(RENEW_AGAIN))
     }
 
+    /// Counts a word of the backend server that tells nothing any more.
+    pub fn passed_over(&mut self, word: PassedOver) {
+        *self.counts.passed_over.entry(word).or_default() += 1;
+    }
+
     /// Takes in whether the backend server answers; nothing is started while it doesn't.
     pub(super) fn reach(&mut self, now: time::Duration, reached: bool) {
         if self.reached == reached {
@@ -126,6 +131,7 @@
     /// have ended since, and its clock would make the lease seem longer than what was granted.
     pub fn listed(&mut self, now: time::Duration, sent: time::Duration, listing: Listing) {
         if listing.clock_ms < self.newest_ms {
+            self.passed_over(PassedOver::Listing);
             return;
         }
         self.newest_ms = listing.clock_ms;
