--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -65,6 +65,27 @@
     assert!(!idle(believes_all).is_empty(), "the search finds it");
 }
 
+/// A caller's approval runs on two workers at once. A backend server crashes and is back under the id
+/// that it had, with another clock and its counts anew; its agent goes by the id, takes it for the life
+/// that it knew, and an entry starts elsewhere what goes on here.
+#[test]
+fn no_task_runs_twice_on_backend_servers_that_keep_their_id() {
+    let found = doubles(Guards::default(), Faults::returns());
+    assert!(found.is_empty(), "{found:?}");
+}
+
+/// A healthy backend server gets no work for as long as it lives. It has come back under its id; what it
+/// lists has the time of a clock that began anew, and its agent passes it over as older than what it
+/// heard from the life before.
+#[test]
+fn backend_servers_that_came_back_under_their_id_get_work() {
+    let found = (0..SEEDS).filter_map(|seed| {
+        World::open(seed, Guards::default(), Faults::returns_and_lives()).idle()
+    });
+    let found: Vec<String> = found.collect();
+    assert!(found.is_empty(), "{found:?}");
+}
+
 /// The calm run must do work, or the search would find nothing in an empty world.
 #[test]
 fn without_faults_nearly_all_jobs_are_done() {
--- a/tests/besteffort_sim/server.rs
+++ b/tests/besteffort_sim/server.rs
@@ -53,6 +53,7 @@
 /// A backend server.
 pub struct Server {
     number: usize,
+    id: u64,
     life: u64,
     clock: Clock,
     /// On its own clock.
@@ -72,6 +73,7 @@
     pub fn open(number: usize, clock: Clock, refuses_late: bool) -> Server {
         Server {
             number,
+            id: 0,
             life: 0,
             clock,
             lease: 0,
@@ -85,15 +87,21 @@
         }
     }
 
-    /// Its life, as it names itself.
+    /// Its id, as it names itself. The next life may have it too.
     pub fn instance(&self) -> String {
-        format!("server-{}-{}", self.number, self.life)
+        format!("server-{}-{}", self.number, self.id)
+    }
+
+    /// Which life it is, counted; for the judge only.
+    pub fn life(&self) -> u64 {
+        self.life
     }
 
     /// It crashes with all that it runs, and remembers nothing in its next life.
-    pub fn crash(&mut self, now: Ms, clock: Clock) {
+    pub fn crash(&mut self, now: Ms, clock: Clock, keeps_id: bool) {
         self.finish(now);
         self.life += 1;
+        self.id += u64::from(!keeps_id);
         self.clock = clock;
         self.lease = 0;
         self.token = 0;
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -109,7 +109,8 @@
     EntryTick(usize, u64),
     Line(usize, usize, u64, Line),
     Connect(usize, usize),
-    Order(usize, u64, Order, bool),
+    /// The agent, its life, the backend server's life that it left for, the order, whether it is answered.
+    Order(usize, u64, u64, Order, bool),
     Started(usize, u64, Run, StartAnswer),
     Stopped(usize, u64, Run),
     /// The agent, its life, the backend server's life that was asked, when, and the answer.
@@ -285,7 +286,7 @@
             Event::EntryTick(e, life) => self.entry_tick(e, life),
             Event::Line(e, a, link, line) => self.line(e, a, link, line),
             Event::Connect(e, a) => self.connect(e, a),
-            Event::Order(a, life, order, answered) => self.order(a, life, order, answered),
+            Event::Order(a, life, to, order, answered) => self.order(a, life, to, order, answered),
             Event::Started(a, life, run, answer) => {
                 if self.agents[a].process.life == life {
                     let now = self.clock(self.agents[a].process);
--- a/tests/besteffort_sim/world/agents.rs
+++ b/tests/besteffort_sim/world/agents.rs
@@ -170,7 +170,9 @@
                     self.at(self.now + 150, unknown);
                 }
             }
-            self.at(self.now + delay, Event::Order(a, life, order, answered));
+            let to = self.agents[a].server.life();
+            let event = Event::Order(a, life, to, order, answered);
+            self.at(self.now + delay, event);
         }
         for e in 0..ENTRIES {
             let Some(name) = self.entry_name(e, a) else {
@@ -182,10 +184,14 @@
         }
     }
 
-    pub(super) fn order(&mut self, a: usize, life: u64, order: Order, answered: bool) {
+    pub(super) fn order(&mut self, a: usize, life: u64, to: u64, order: Order, answered: bool) {
         let delay = self.rng.random_range(0..2);
         let work = self.work();
         let agent = &mut self.agents[a];
+        let held_back_by_the_dead = !answered && agent.server.life() != to;
+        if self.faults.dies_with_orders && held_back_by_the_dead {
+            return;
+        }
         match order {
             Order::Start {
                 life: of,
--- a/tests/besteffort_sim/world/faults.rs
+++ b/tests/besteffort_sim/world/faults.rs
@@ -18,6 +18,8 @@
     CutToAgent,
     CutToEntry,
     CrashServer,
+    /// As a crash, and mostly with the same id in the next life.
+    ReturnServer,
     Reset,
 }
 
@@ -33,6 +35,21 @@
     Kind::Reset,
 ];
 
+const RETURNS: [Kind; 12] = [
+    Kind::FreezeEntry,
+    Kind::FreezeAgent,
+    Kind::KillEntry,
+    Kind::KillAgent,
+    Kind::Cut,
+    Kind::CutToAgent,
+    Kind::CutToEntry,
+    Kind::Reset,
+    Kind::ReturnServer,
+    Kind::ReturnServer,
+    Kind::ReturnServer,
+    Kind::ReturnServer,
+];
+
 /// How often faults come: one in so many chances.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -46,6 +63,9 @@
     kinds: &'static [Kind],
     /// When the last one may begin.
     pub(super) until: Ms,
+    /// Whether a backend server that crashes takes the orders with it that it holds back. One that comes
+    /// back under its id knows nothing of before; to one with another id they would mean nothing.
+    pub(super) dies_with_orders: bool,
 }
 
 impl Default for Faults {
@@ -56,6 +76,7 @@
             longest: 4_000,
             kinds: &ALL,
             until: END,
+            dies_with_orders: false,
         }
     }
 }
@@ -79,6 +100,26 @@
         }
     }
 
+    /// Backend servers that come back under their id, knowing nothing, beside every other fault.
+    pub fn returns() -> Faults {
+        Faults {
+            every: 250,
+            kinds: &RETURNS,
+            dies_with_orders: true,
+            ..Faults::default()
+        }
+    }
+
+    /// Backend servers that come back under their id and agents that die, until some seconds before the
+    /// end.
+    pub fn returns_and_lives() -> Faults {
+        Faults {
+            kinds: &[Kind::KillAgent, Kind::ReturnServer, Kind::ReturnServer],
+            dies_with_orders: true,
+            ..Faults::lives()
+        }
+    }
+
     /// Agents that are suspended again and again for less than a lease, and entries that die.
     pub fn naps() -> Faults {
         Faults {
@@ -117,7 +158,11 @@
             Kind::Cut => self.hold(e, a, long, true, true),
             Kind::CutToAgent => self.hold(e, a, long, true, false),
             Kind::CutToEntry => self.hold(e, a, long, false, true),
-            Kind::CrashServer => self.crash_server(a),
+            Kind::CrashServer => self.crash_server(a, false),
+            Kind::ReturnServer => {
+                let keeps_id = self.rng.random_range(0..4) > 0;
+                self.crash_server(a, keeps_id);
+            }
             Kind::Reset => self.reset(e, a),
         }
     }
@@ -184,9 +229,9 @@
 
     /// A backend server crashes and is there again at once; its agent hears of it with the next
     /// heartbeat.
-    fn crash_server(&mut self, a: usize) {
+    fn crash_server(&mut self, a: usize, keeps_id: bool) {
         let clock = self.new_clock();
-        self.agents[a].server.crash(self.now, clock);
+        self.agents[a].server.crash(self.now, clock, keeps_id);
     }
 
     fn hold(&mut self, e: usize, a: usize, long: Ms, to_agent: bool, to_entry: bool) {
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -575,6 +575,32 @@
     });
 }
 
+/// Work goes to a worker that has said that it leaves, and a healthy one gets none. Both had crashed and
+/// come back under the id that they had. The heartbeats of the next life, numbered anew, passed for late
+/// ones of the life before: acknowledged, and not taken in. So did its listings where its clock began anew
+/// below that of the life before.
+#[test]
+fn a_worker_that_came_back_under_its_id_leaves_and_serves_like_a_new_one() {
+    block_on(async {
+        let system = System::open("back", 1, 2).await;
+        let (worker, entry) = (&system.workers[0], &system.entries[0]);
+        worker.come_back(5_000_000);
+        worker.leave();
+        takes_work(entry, "back-agent-0", false);
+        let before = worker.log().len();
+        for id in 0..20 {
+            assert_eq!(system.submit(0, id, &job(2, 5)).await.0, 200);
+        }
+        assert_eq!(worker.log().len(), before, "work for one that leaves");
+
+        worker.come_back(500);
+        takes_work(entry, "back-agent-0", true);
+        // Eight fit on one of the two.
+        assert_eq!(system.submit(0, 100, &job(12, 30)).await.0, 200);
+        assert_ne!(worker.log().len(), before, "it serves again");
+    });
+}
+
 /// A caller whose entry is killed submits again elsewhere, 1.3 s later: nothing of the first run may
 /// be left by then. The backend servers live on and say when each run ended.
 #[test]
--- a/tests/users_platform/stand.rs
+++ b/tests/users_platform/stand.rs
@@ -237,6 +237,33 @@
     token: u64,
     lease: u64,
     log: Vec<Ran>,
+    life: Life,
+}
+
+/// One life of a worker: what counts anew when it comes back under its id.
+#[derive(Clone, Copy)]
+struct Life {
+    /// The millisecond of its start, by a time of day that may have been set back meanwhile.
+    born: u64,
+    began: Instant,
+    /// What its clock showed then.
+    first_ms: u64,
+    /// The number of its last heartbeat.
+    seq: u64,
+    leaving: bool,
+}
+
+impl Default for Life {
+    fn default() -> Life {
+        Life {
+            born: 1_790_000_000_000,
+            began: Instant::now(),
+            first_ms: 1_000_000,
+            // So many that a next life's stay below them for as long as a test takes.
+            seq: 1_000_000,
+            leaving: false,
+        }
+    }
 }
 
 /// A worker beside an agent: runs each task for as many milliseconds as its input says.
@@ -245,8 +272,6 @@
     pub addr: SocketAddr,
     pub id: String,
     work: Arc<Mutex<Work>>,
-    began: Instant,
-    leaving: Arc<AtomicBool>,
 }
 
 impl Worker {
@@ -255,8 +280,6 @@
             addr: any(),
             id: id.into(),
             work: Arc::default(),
-            began: Instant::now(),
-            leaving: Arc::default(),
         };
         let serving = worker.clone();
         let answer = move |req| {
@@ -280,12 +303,17 @@
     pub fn announce(&self, agent: String, client: Client) {
         let worker = self.clone();
         tokio::spawn(async move {
-            for seq in 1.. {
+            loop {
                 let uri = format!("http://{agent}/-/instances/{}/heartbeat", worker.id);
-                let leaving = worker.leaving.load(Ordering::SeqCst);
+                let life = {
+                    let life = &mut mutex::lock(&worker.work).life;
+                    life.seq += 1;
+                    *life
+                };
+                let state = if life.leaving { "draining" } else { "ready" };
                 let beat = json!({"service": "svc", "addr": worker.addr.to_string(), "zone": "z",
-                    "version": "v1", "slots": 8, "state": if leaving { "draining" } else { "ready" },
-                    "cold_left_ms": 0, "labels": ["a", "r1-1"], "seq": seq,
+                    "version": "v1", "slots": 8, "state": state, "born": life.born,
+                    "cold_left_ms": 0, "labels": ["a", "r1-1"], "seq": life.seq,
                     "capacity": {"cpu": 8000, "mem_mb": 8000, "gpu": 0}});
                 let call = Call::new(Method::POST, uri, beat.to_string());
                 // The agent may be away for a while.
@@ -296,7 +324,28 @@
     }
 
     pub fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
+        mutex::lock(&self.work).life.leaving = true;
+    }
+
+    /// Crashes and is back at once under its id: it runs and knows nothing, and counts anew, its clock
+    /// from `first_ms`. The time of day was set back meanwhile.
+    pub fn come_back(&self, first_ms: u64) {
+        let mut work = mutex::lock(&self.work);
+        for ran in work.log.iter_mut().filter(|ran| ran.ended.is_none()) {
+            ran.ended = Some(Instant::now());
+            ran.how = "crashed";
+        }
+        let life = Life {
+            born: work.life.born - 1,
+            first_ms,
+            seq: 0,
+            ..Life::default()
+        };
+        *work = Work {
+            log: std::mem::take(&mut work.log),
+            life,
+            ..Work::default()
+        };
     }
 
     /// Every run so far.
@@ -305,12 +354,12 @@
     }
 
     fn clock_ms(&self) -> u64 {
-        1_000_000 + self.began.elapsed().as_millis() as u64
+        mutex::lock(&self.work).clock_ms()
     }
 
     fn settle(&self) {
-        let now = self.clock_ms();
         let mut work = mutex::lock(&self.work);
+        let now = work.clock_ms();
         let lapsed = now > work.lease;
         let over = work
             .running
@@ -336,7 +385,7 @@
             if token < work.token {
                 return http::json(
                     409,
-                    &json!({"clock_ms": self.clock_ms(), "reason": "fence"}),
+                    &json!({"clock_ms": work.clock_ms(), "reason": "fence"}),
                 );
             }
             work.token = token;
@@ -401,12 +450,17 @@
         let finished: Vec<Value> = finished.collect();
         http::json(
             200,
-            &json!({"clock_ms": self.clock_ms(), "running": running, "finished": finished}),
+            &json!({"clock_ms": work.clock_ms(), "born": work.life.born, "running": running,
+                "finished": finished}),
         )
     }
 }
 
 impl Work {
+    fn clock_ms(&self) -> u64 {
+        self.life.first_ms + self.life.began.elapsed().as_millis() as u64
+    }
+
     fn end(&mut self, key: &(String, u64), how: &'static str) {
         if self.running.remove(key).is_none() {
             return;
