Contract tests of a life's start and fence on the wire, and of other writers' words about it

Each token of a life is smaller than that of the next, a refused order for a dead life raises none, a start that isn't a whole number names no life, and a leave that can't be read is nobody's.

--- a/tests/contract_users_platform.rs
+++ b/tests/contract_users_platform.rs
@@ -3,15 +3,23 @@
 
 mod support;
 
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use compact_str::CompactString;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::Request;
 use lovagemill::besteffort::agent::{BackendServer, ListCall, NoListing};
 use lovagemill::decide::besteffort::message::{How, Run, ServerLife};
 use lovagemill::decide::besteffort::slots::{Recipient, StartAnswer};
+use lovagemill::mutex;
+use lovagemill::platform::http as platform_http;
 use lovagemill::platform::routes;
 use lovagemill::platform::store::{self, Error, Store};
 use lovagemill::platform::worker;
+use serde_json::{json, Value};
 
 use support::script::{Script, Scripted, Server};
 
@@ -130,7 +138,7 @@
 #[test]
 fn answers_to_a_listing() {
     support::block_on(async {
-        let good = r#"{"clock_ms":5,"running":[["00000000000000aa.0.0.3",7,"",41,900]],
+        let good = r#"{"clock_ms":5,"born":1790000000123,"running":[["00000000000000aa.0.0.3",7,"",41,900]],
             "finished":[[4,"00000000000000aa.0.0.1",6,"done",""],[5,"00000000000000aa.0.0.2",6,"lapsed",""]]}"#;
         let ask = || ListCall {
             to: life(),
@@ -141,10 +149,19 @@
         let (_server, worker) = worker_at(script(Server::Answer, 200, good)).await;
         let listing = (worker.list)(ask()).await.expect("a listing");
         assert_eq!(listing.running, [(run(), 41)]);
+        assert_eq!(listing.born_ms, Some(1_790_000_000_123));
         let hows: Vec<How> = listing.ended.iter().map(|(_, how)| *how).collect();
         assert_eq!((hows, listing.last_end), (vec![How::Done, How::Gone], 5));
         let cases = [
             (script(Server::Answer, 200, "{}"), NoListing::Silent),
+            (
+                script(
+                    Server::Answer,
+                    200,
+                    r#"{"clock_ms":5,"born":"x","running":[],"finished":[]}"#,
+                ),
+                NoListing::Silent,
+            ),
             (
                 script(
                     Server::Answer,
@@ -170,6 +187,45 @@
     });
 }
 
+/// A caller's approval runs twice: an order for the life before is carried out by the next life of a backend
+/// server under the same id. Its token is smaller than that of the first question to the next life; and
+/// that it is refused must not raise the token of the order after it.
+#[test]
+fn tokens_rise_with_the_fence_of_a_life() {
+    support::block_on(async {
+        let tokens: Arc<Mutex<Vec<u64>>> = Arc::default();
+        let seen = tokens.clone();
+        let answer = move |req: Request<Incoming>| {
+            let seen = seen.clone();
+            async move {
+                let body = req.into_body().collect().await.expect("a body").to_bytes();
+                let order: Value = serde_json::from_slice(&body).expect("an order in JSON");
+                let token = order["fencing_token"].as_u64().expect("a token");
+                mutex::lock(&seen).push(token);
+                platform_http::json(409, &json!({"clock_ms": 5, "reason": "fence"}))
+            }
+        };
+        let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+        let caps = || platform_http::watchers(8);
+        let addr = platform_http::bind(addr, caps, answer).await;
+        let worker = worker::open(addr.expect("a free port"));
+        for fence in [1, 2, 1, 1, 2] {
+            let to = Recipient { fence, ..life() };
+            assert!(!(worker.stop)(to, run()).await);
+        }
+        let tokens = mutex::lock(&tokens).clone();
+        let [first, next, before, again, last] = tokens[..] else {
+            panic!("{tokens:?}");
+        };
+        assert!(first < next, "each life has a token of its own");
+        assert!(before < last && again < last, "{tokens:?}");
+        assert_eq!(
+            before, again,
+            "a refused order for a dead life raises nothing"
+        );
+    });
+}
+
 /// Rows are read whole or not at all, and a history that is gone is told from a store that is away.
 #[test]
 fn answers_of_the_store() {
--- a/tests/other_writers.rs
+++ b/tests/other_writers.rs
@@ -64,6 +64,13 @@
         answer.expect("an answer").status.as_u16()
     }
 
+    async fn leave(&self, instance: &str, body: impl Into<Vec<u8>>) -> u16 {
+        let uri = format!("http://{}/-/instances/{instance}/deregister", self.addr);
+        let call = Call::new(Method::POST, uri, body.into());
+        let answer = self.client.call(call, support::HANG).await;
+        answer.expect("an answer").status.as_u16()
+    }
+
     fn assert_holds(&self, after: &str) {
         let known = self.agent.backend();
         assert_eq!(known.life.id, "life", "{after}");
@@ -126,6 +133,9 @@
             with("seq", json!(-1)),
             with("seq", json!("8")),
             with("seq", json!(1e40)),
+            with("born", json!("x")),
+            with("born", json!(-1)),
+            with("born", json!(1.5)),
             with("labels", json!("a")),
             with("labels", json!([1])),
             with("capacity", json!(8000)),
@@ -147,6 +157,10 @@
         other["service"] = json!("nobody's");
         assert_eq!(listening.say("life", other.to_string()).await, 200);
         listening.assert_holds("another service");
+        assert_eq!(listening.leave("life", "no JSON").await, 400);
+        assert_eq!(listening.leave("life", r#"{"born":"x"}"#).await, 400);
+        assert_eq!(listening.leave("life", r#"{"born":77}"#).await, 200);
+        listening.assert_holds("a life that isn't there has left");
         let mut next = beat();
         next["seq"] = json!(8);
         next["state"] = json!("draining");
