A leave that was heard while another life was taken up is remembered

After two crashes in a row, a life in between was found by its listing while the one after it was still being asked whether it is there. What that one had said was forgotten, its leave with it, and a late heartbeat from before the leave brought it back until its next word (1.5 s). Words of lives that are asked are kept now; only the answers to questions asked before don't count.

--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -204,8 +204,14 @@
             self.lease = Lease::open(self.bounds);
             self.lost(now, ANOTHER_LIFE);
         }
-        // What was asked before may be answered by a life that has died since.
-        self.candidates.clear();
+        // What was asked before may be answered by a life that has died since; what was said counts, and is
+        // asked for again with the next word. Forgotten, a leave that was acknowledged would be undone by a
+        // late heartbeat from before it.
+        self.candidates
+            .retain(|known| *known.life() != heartbeat.backend.life);
+        for known in &mut self.candidates {
+            known.check = None;
+        }
         self.acknowledged = 0;
         self.newest_ms = 0;
         self.last_heartbeat = heartbeat.number;
--- a/tests/besteffort_returns.rs
+++ b/tests/besteffort_returns.rs
@@ -17,6 +17,7 @@
 /// When lives began. The later one names an earlier time: the time of day was set back in between.
 const FIRST: u64 = 5_000;
 const SECOND: u64 = 4_000;
+const THIRD: u64 = 6_000;
 
 fn ms(at: u64) -> Duration {
     Duration::from_millis(at)
@@ -156,6 +157,24 @@
     assert!(!slots.backend().takes_work);
 }
 
+/// The same, after two crashes in a row: the life in between is found by its listing while the one after it
+/// is still asked whether it is there.
+#[test]
+fn the_leave_of_the_life_after_next_is_remembered() {
+    let mut slots = open();
+    announce(&mut slots, START + 1, heartbeat(THIRD, 5, false));
+    slots.listed(ms(START + 2), ms(START + 1), listing(SECOND, 7, &[]));
+    assert_eq!(slots.life().born_ms, Some(SECOND));
+    slots.listed(ms(START + 4), ms(START + 3), listing(THIRD, 3, &[]));
+    assert_eq!(slots.life().born_ms, Some(THIRD));
+    slots.listed(ms(START + 6), ms(START + 5), listing(THIRD, 5, &[]));
+    assert_eq!(
+        slots.announced(ms(START + 7), heartbeat(THIRD, 4, true)),
+        None
+    );
+    assert!(!slots.backend().takes_work);
+}
+
 /// A caller's approval runs twice. A start was on its way as the backend server crashed, and the next life
 /// under the same id took it for its own. Given up with the life before, its task started elsewhere.
 #[test]
