--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -164,8 +164,8 @@
         }
     }
 
-    /// Another life has answered under the id of the known one, which is dead then. What it is it hasn't
-    /// said yet, perhaps; until it does it gets nothing new.
+    /// Another life has answered under the id of the known one, which is dead then. Where the new one hasn't
+    /// announced itself yet, nobody knows its room, and it gets nothing new until it does.
     pub(super) fn came_back(&mut self, now: time::Duration, born_ms: Option<u64>) {
         let life = ServerLife {
             born_ms,
@@ -187,7 +187,7 @@
         self.take_up(now, heartbeat);
     }
 
-    /// The first sure sign of another life: all that ran in the one before has ended.
+    /// The first sure sign of another life: what the one before ran has ended with it.
     fn take_up(&mut self, now: time::Duration, heartbeat: Heartbeat) {
         let life = &heartbeat.backend.life;
         if !self.backend.life.id.is_empty() {
