--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -11,7 +11,7 @@
 mod server;
 mod world;
 
-use world::{Faults, Guards, World};
+use world::{Crashed, Faults, Guards, World};
 
 /// Seeds that every run plays; each missing guard is found by several of them.
 const SEEDS: u64 = 120;
@@ -98,6 +98,52 @@
     assert!(found.is_empty(), "{found:?}");
 }
 
+/// A task crashes one backend server after the other: it is lost with each and goes back to the queue, and
+/// its caller submits it once more at another entry.
+#[test]
+fn a_task_crashes_two_backend_servers_at_most() {
+    let found = (0..SEEDS).map(|seed| {
+        let world = World::open(seed, Guards::default(), Faults::crashing_tasks());
+        (seed, world.crashes())
+    });
+    let found: Vec<(u64, Crashed)> = found.collect();
+    assert!(found.iter().all(|(_, seen)| seen.all > 0), "tasks do crash");
+    let more: Vec<_> = found.iter().filter(|(_, seen)| seen.most > 2).collect();
+    assert!(more.is_empty(), "{more:?}");
+    let sound: Vec<_> = found
+        .iter()
+        .filter(|(_, seen)| seen.sound_failed > 0)
+        .collect();
+    assert!(sound.is_empty(), "sound jobs are given up: {sound:?}");
+}
+
+/// The same while entries and agents die, freeze and are cut off, so that what was known of a task may be
+/// lost. The platform's bound still holds: no three starts after three crashes.
+#[test]
+fn a_task_that_crashes_backend_servers_is_given_up_under_every_fault() {
+    let found = (0..SEEDS).map(|seed| {
+        let world = World::open(seed, Guards::default(), Faults::crashing_tasks_and_all());
+        (seed, world.crashes())
+    });
+    let found: Vec<_> = found.filter(|(_, seen)| seen.most >= 6).collect();
+    assert!(found.is_empty(), "{found:?}");
+}
+
+/// A start brings a backend server over its room: it has shrunk, guards none itself, and its agent goes by
+/// what it had, or forgets what runs there.
+#[test]
+fn no_start_brings_a_backend_server_over_its_room() {
+    let found =
+        (0..SEEDS).map(|seed| World::open(seed, Guards::default(), Faults::resizes()).over_room());
+    let found: Vec<String> = found.flatten().collect();
+    assert!(
+        found.is_empty(),
+        "{} starts: {:?}",
+        found.len(),
+        found.first()
+    );
+}
+
 /// Backend servers that don't say when their lives began are known by their id alone, as if a crash
 /// brought a new one: the searches find what that leads to.
 #[test]
--- a/tests/besteffort_sim/server.rs
+++ b/tests/besteffort_sim/server.rs
@@ -41,6 +41,9 @@
     }
 }
 
+/// Room of a backend server that hasn't shrunk, in thousandths of a core.
+pub const FULL: i64 = 24_000;
+
 /// Longest lease that is taken; a longer one is shortened to it.
 const LONGEST_LEASE: Ms = 1_000;
 
@@ -62,6 +65,8 @@
     AnotherLife,
     /// It came from an earlier agent.
     OldToken,
+    /// Nothing listens: the backend server has crashed and isn't back yet.
+    Refused,
 }
 
 /// A backend server.
@@ -80,6 +85,10 @@
     pub leaving: bool,
     /// When its agent first took that in.
     pub leave_heard: Option<Ms>,
+    /// Until when it is down after a crash.
+    down_until: Ms,
+    /// Its room, in thousandths of a core, and since when; the newest last.
+    capacity: Vec<(Ms, i64)>,
     /// Heartbeats of this life.
     heartbeats: u64,
     running: BTreeMap<Run, (Ms, Ms)>,
@@ -104,6 +113,8 @@
             is_known: false,
             leaving: false,
             leave_heard: None,
+            down_until: 0,
+            capacity: vec![(0, FULL)],
             heartbeats: 0,
             running: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -113,6 +124,48 @@
         }
     }
 
+    /// Its room now.
+    pub fn capacity(&self) -> i64 {
+        self.capacity.last().map_or(FULL, |(_, cpu)| *cpu)
+    }
+
+    /// Its room shrinks or grows.
+    pub fn resize(&mut self, now: Ms, cpu: i64) {
+        self.capacity.push((now, cpu));
+    }
+
+    /// Room that may be used: the largest since `since`.
+    pub fn allowed(&self, since: Ms) -> i64 {
+        let older = self.capacity.iter().rev().find(|(at, _)| *at <= since);
+        let newer = self.capacity.iter().filter(|(at, _)| *at > since);
+        newer
+            .chain(older)
+            .map(|(_, cpu)| *cpu)
+            .max()
+            .unwrap_or(FULL)
+    }
+
+    /// Runs at work.
+    pub fn at_work(&mut self, now: Ms) -> usize {
+        self.settle(now);
+        self.running.len()
+    }
+
+    /// Whether a run is at work.
+    pub fn runs(&self, run: &Run) -> bool {
+        self.running.contains_key(run)
+    }
+
+    /// Whether it is down after a crash.
+    pub fn is_down(&self, now: Ms) -> bool {
+        now < self.down_until
+    }
+
+    /// It is down for a while after a crash.
+    pub fn stay_down(&mut self, until: Ms) {
+        self.down_until = until;
+    }
+
     /// Its id, as it names itself. The next life may have it too.
     pub fn instance(&self) -> String {
         format!("server-{}-{}", self.number, self.id)
@@ -153,6 +206,9 @@
 
     fn accepts(&mut self, now: Ms, life: &str, token: u64) -> Result<(), NoAnswer> {
         self.settle(now);
+        if self.is_down(now) {
+            return Err(NoAnswer::Refused);
+        }
         if !life.is_empty() && life != self.instance() {
             return Err(NoAnswer::AnotherLife);
         }
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -33,6 +33,8 @@
 const BEAT: Ms = 200;
 /// How long a caller waits for its answer.
 const PATIENCE: Ms = 4_000;
+/// How long a room that has shrunk may still be used: the platform's window and a heartbeat.
+const SHRUNK: Ms = 3_000 + BEAT;
 /// How long after its leave was heard a backend server may still be sent work.
 const DRAIN: Ms = 2_000;
 
@@ -123,6 +125,18 @@
     away: bool,
     over: bool,
     done: bool,
+    failed: bool,
+}
+
+/// What tasks that crash backend servers have done.
+#[derive(Clone, Copy, Debug)]
+pub struct Crashed {
+    /// Most backend servers that one task has crashed.
+    pub most: u32,
+    /// Sound jobs that were shown as failed.
+    pub sound_failed: usize,
+    /// Crashes by tasks in all.
+    pub all: u32,
 }
 
 enum Event {
@@ -146,6 +160,8 @@
     Left(usize, usize),
     /// A backend server that leaves ends, if that life still is there, and comes back.
     End(usize, u64),
+    /// A run crashes the life of the backend server that it is on, if it is still there.
+    Crash(usize, u64, Run),
     NewJob,
     Fault,
 }
@@ -164,6 +180,10 @@
     jobs: Vec<Job>,
     /// Starts on backend servers whose leave had been heard long before.
     after_leave: Vec<String>,
+    /// Backend servers that each task has crashed.
+    crashed: BTreeMap<(String, u32), u32>,
+    /// Starts that brought a backend server over its room.
+    over_room: Vec<String>,
 }
 
 fn ms(at: Ms) -> Duration {
@@ -184,10 +204,15 @@
             links: BTreeMap::new(),
             jobs: Vec::new(),
             after_leave: Vec::new(),
+            crashed: BTreeMap::new(),
+            over_room: Vec::new(),
         };
         for a in 0..AGENTS {
             let clock = world.new_clock();
-            let server = Server::open(a, clock, guards.rules());
+            let mut server = Server::open(a, clock, guards.rules());
+            if faults.small {
+                server.resize(0, faults::SMALL);
+            }
             let agent = world.new_agent(server);
             world.agents.push(agent);
             world.at(world.now, Event::Beat(a));
@@ -244,6 +269,24 @@
         self.after_leave
     }
 
+    /// Plays to the end; tells of starts that brought a backend server over its room.
+    pub fn over_room(mut self) -> Vec<String> {
+        self.run();
+        self.over_room
+    }
+
+    /// Plays to the end; most backend servers that one task has crashed, sound jobs that were shown as
+    /// failed, and crashes in all.
+    pub fn crashes(mut self) -> Crashed {
+        self.run();
+        let sound = |(index, job): &(usize, &Job)| job.failed && !callers::crashes(*index);
+        Crashed {
+            most: self.crashed.values().copied().max().unwrap_or(0),
+            sound_failed: self.jobs.iter().enumerate().filter(sound).count(),
+            all: self.crashed.values().sum(),
+        }
+    }
+
     /// Plays to the end; jobs that were done, and all.
     pub fn count(mut self) -> (usize, usize) {
         self.run();
@@ -346,6 +389,7 @@
             Event::CallerGone(job, tries) => self.caller_gone(job, tries),
             Event::Left(e, job) => self.left(e, job),
             Event::End(a, life) => self.end_server(a, life),
+            Event::Crash(a, life, run) => self.crash_by(a, life, &run),
             Event::Fault => self.fault(),
         }
     }
--- a/tests/besteffort_sim/world/agents.rs
+++ b/tests/besteffort_sim/world/agents.rs
@@ -8,8 +8,9 @@
 use rand::Rng;
 
 use crate::server::{Clock, Ms, NoAnswer, Server, CLOCK_ERROR};
+use crate::world::callers::{self, NEED};
 use crate::world::faults::HeldBack;
-use crate::world::{ms, Agent, Event, Process, World, BEAT, DRAIN, ENTRIES, TICK};
+use crate::world::{ms, Agent, Event, Process, World, BEAT, DRAIN, ENTRIES, SHRUNK, TICK};
 
 impl World {
     /// The clock of a life that begins now; it may begin anywhere.
@@ -101,7 +102,7 @@
                 agent.slots.listed(now, ms(sent), listing);
             }
             Err(NoAnswer::AnotherLife) => agent.slots.another_life(now),
-            Err(NoAnswer::OldToken) => {}
+            Err(NoAnswer::OldToken | NoAnswer::Refused) => {}
         }
         self.flush_agent(a);
     }
@@ -136,7 +137,7 @@
                 (Checked::There(believed), delay)
             }
             Err(NoAnswer::AnotherLife) => (Checked::AnotherLife, delay),
-            Err(NoAnswer::OldToken) => (Checked::Silent, delay),
+            Err(NoAnswer::OldToken | NoAnswer::Refused) => (Checked::Silent, delay),
         };
         let event = Event::Checked(a, life, check, sent, checked);
         self.at(self.now + delay, event);
@@ -164,6 +165,10 @@
     /// A backend server says which life of it is there; some of its words are late.
     pub(super) fn beat(&mut self, a: usize) {
         let server = &mut self.agents[a].server;
+        if server.is_down(self.now) {
+            self.at(self.now + BEAT, Event::Beat(a));
+            return;
+        }
         let word = Heartbeat {
             number: server.next_heartbeat(),
             backend: backend(server),
@@ -207,6 +212,7 @@
     pub(super) fn order(&mut self, a: usize, life: u64, to: u64, order: Order, answered: bool) {
         let delay = self.rng.random_range(0..2);
         let work = self.work();
+        let crashes_after = self.rng.random_range(1..80).min(work - 1);
         let guards = self.guards;
         let id_of = |to: &Recipient| match guards.names_life {
             true => to.life.id.to_string(),
@@ -230,6 +236,19 @@
                     .start(self.now, &id_of(&to), token, &run, until, work);
                 let heard = agent.server.leave_heard;
                 let too_late = heard.is_some_and(|heard| self.now > heard + DRAIN);
+                if answer == StartAnswer::Accepted {
+                    let task = (run.job.as_str(), run.task);
+                    if self.faults.crashing_tasks && crashes_backend_servers(task) {
+                        let crash = Event::Crash(a, agent.server.life(), run.clone());
+                        self.events.at(self.now + crashes_after, crash);
+                    }
+                    let used = agent.server.at_work(self.now) as i64 * NEED.cpu;
+                    let allowed = agent.server.allowed(self.now.saturating_sub(SHRUNK));
+                    if answered && used > allowed {
+                        let text = format!("{run:?} at {}: {used} of {allowed}", self.now);
+                        self.over_room.push(text);
+                    }
+                }
                 if answered && too_late && answer == StartAnswer::Accepted {
                     let server = agent.server.instance();
                     let text = format!("{run:?} at {} on {server}", self.now);
@@ -259,6 +278,11 @@
     }
 }
 
+fn crashes_backend_servers((job, task): (&str, u32)) -> bool {
+    let index = usize::from_str_radix(job, 16).expect("numbered by the callers");
+    task == 0 && callers::crashes(index)
+}
+
 fn backend(server: &Server) -> Backend {
     Backend {
         life: ServerLife {
@@ -268,7 +292,7 @@
         service: "svc".into(),
         labels: Vec::new(),
         size: Room {
-            cpu: 24_000,
+            cpu: server.capacity(),
             memory_mb: 8_000,
             accelerators: 0,
         },
--- a/tests/besteffort_sim/world/callers.rs
+++ b/tests/besteffort_sim/world/callers.rs
@@ -11,6 +11,16 @@
 use crate::server::Ms;
 use crate::world::{ms, Event, Job, World, END, ENTRIES, PATIENCE};
 
+/// One job in so many has a task that crashes backend servers, on days when some do.
+const CRASHING: usize = 25;
+
+/// Room of each task.
+pub(super) const NEED: Room = Room {
+    cpu: 1_000,
+    memory_mb: 10,
+    accelerators: 0,
+};
+
 impl World {
     pub(super) fn new_job(&mut self) {
         let tasks = self.rng.random_range(1..4);
@@ -21,6 +31,7 @@
             away: false,
             over: false,
             done: false,
+            failed: false,
         });
         self.submit(self.jobs.len() - 1);
         let pause = self.rng.random_range(40..160);
@@ -73,6 +84,11 @@
     }
 }
 
+/// Whether the first task of a job crashes each backend server that starts it, on days when some do.
+pub(super) fn crashes(index: usize) -> bool {
+    index % CRASHING == CRASHING - 1
+}
+
 fn ask(index: usize, job: &Job, deadline: Duration, now: Ms) -> Submission {
     Submission {
         job: format!("{index:016x}").into(),
@@ -80,11 +96,7 @@
         service: "svc".into(),
         input: "input".into(),
         tasks: job.tasks,
-        need: Room {
-            cpu: 1_000,
-            memory_mb: 10,
-            accelerators: 0,
-        },
+        need: NEED,
         declared: ms(450),
         requires: None,
         near: None,
--- a/tests/besteffort_sim/world/entries.rs
+++ b/tests/besteffort_sim/world/entries.rs
@@ -75,5 +75,6 @@
         let job = &mut self.jobs[index];
         job.over = true;
         job.done = *outcome == Outcome::Complete;
+        job.failed = *outcome == Outcome::Failed;
     }
 }
--- a/tests/besteffort_sim/world/faults.rs
+++ b/tests/besteffort_sim/world/faults.rs
@@ -1,6 +1,7 @@
 //! The faults of a play, and what each does to the world.
 
 use lovagemill::decide::besteffort::lease;
+use lovagemill::decide::besteffort::message::Run;
 use rand::Rng;
 
 use crate::server::{Ms, Server};
@@ -22,9 +23,14 @@
     ReturnServer,
     /// It says that it leaves, works on for some seconds and then is as one that has crashed.
     LeaveServer,
+    /// Its room shrinks, to nothing too, or grows.
+    ResizeServer,
     Reset,
 }
 
+/// Room of a small backend server, in thousandths of a core.
+pub(super) const SMALL: i64 = 3_000;
+
 const ALL: [Kind; 9] = [
     Kind::FreezeEntry,
     Kind::FreezeAgent,
@@ -52,6 +58,19 @@
     Kind::ReturnServer,
 ];
 
+const RESIZES: [Kind; 10] = [
+    Kind::FreezeEntry,
+    Kind::FreezeAgent,
+    Kind::KillEntry,
+    Kind::KillAgent,
+    Kind::Cut,
+    Kind::CrashServer,
+    Kind::ReturnServer,
+    Kind::ResizeServer,
+    Kind::ResizeServer,
+    Kind::ResizeServer,
+];
+
 /// How often faults come: one in so many chances.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
@@ -67,6 +86,10 @@
     pub(super) until: Ms,
     /// What becomes of orders that a backend server holds back as it crashes.
     pub(super) held_back: HeldBack,
+    /// Whether some tasks crash each backend server that starts them.
+    pub(super) crashing_tasks: bool,
+    /// Whether backend servers are small and guard no room themselves.
+    pub(super) small: bool,
 }
 
 /// What becomes of orders that are carried out seconds late where the life that they left for is dead.
@@ -90,6 +113,8 @@
             kinds: &ALL,
             until: END,
             held_back: HeldBack::Inherited,
+            crashing_tasks: false,
+            small: false,
         }
     }
 }
@@ -142,6 +167,33 @@
         }
     }
 
+    /// Some tasks crash each backend server that starts them; nothing else goes wrong.
+    pub fn crashing_tasks() -> Faults {
+        Faults {
+            crashing_tasks: true,
+            ..Faults::none()
+        }
+    }
+
+    /// The same beside every other fault.
+    pub fn crashing_tasks_and_all() -> Faults {
+        Faults {
+            crashing_tasks: true,
+            ..Faults::returns()
+        }
+    }
+
+    /// Backend servers that are small, guard no room themselves, shrink and grow, beside other faults.
+    pub fn resizes() -> Faults {
+        Faults {
+            every: 250,
+            kinds: &RESIZES,
+            held_back: HeldBack::Dead,
+            small: true,
+            ..Faults::default()
+        }
+    }
+
     /// Backend servers that come back under their id, and leave.
     pub fn leaves() -> Faults {
         Faults {
@@ -196,6 +248,10 @@
                 self.crash_server(a, keeps_id);
             }
             Kind::LeaveServer => self.leave_server(a),
+            Kind::ResizeServer => {
+                let cpu = [0, 0, 1_000, 2_000, SMALL][self.rng.random_range(0..5)];
+                self.agents[a].server.resize(self.now, cpu);
+            }
             Kind::Reset => self.reset(e, a),
         }
     }
@@ -267,6 +323,21 @@
         self.agents[a].server.crash(self.now, clock, keeps_id);
     }
 
+    /// A run crashes the backend server that it is on, which is back after some seconds.
+    pub(super) fn crash_by(&mut self, a: usize, life: u64, run: &Run) {
+        let server = &mut self.agents[a].server;
+        server.settle(self.now);
+        if server.life() != life || !server.runs(run) {
+            return;
+        }
+        let task = (run.job.to_string(), run.task);
+        *self.crashed.entry(task).or_default() += 1;
+        let keeps_id = self.rng.random_range(0..2) > 0;
+        let back = self.now + self.rng.random_range(1_000..4_000);
+        self.crash_server(a, keeps_id);
+        self.agents[a].server.stay_down(back);
+    }
+
     fn leave_server(&mut self, a: usize) {
         let server = &mut self.agents[a].server;
         if server.leaving {
