--- a/examples/besteffort_cost.rs
+++ b/examples/besteffort_cost.rs
@@ -53,6 +53,7 @@
         priority: 1,
         urgency_ms: 482_113,
         deadline_ms: 484_113,
+        suspicion: 0,
         patience_ms: 40,
     }
 }
--- a/src/besteffort/agent/mod.rs
+++ b/src/besteffort/agent/mod.rs
@@ -49,6 +49,8 @@
     Silent,
     /// Another life of the backend server answered: what was started before has ended.
     AnotherLife,
+    /// Nothing listens there: the backend server has ended.
+    Refused,
 }
 
 /// How the agent speaks to the backend server beside it.
--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -116,7 +116,7 @@
     let checked = match timeout(LISTING_SLACK, call).await {
         Ok(Ok(listing)) => Checked::There(listing),
         Ok(Err(NoListing::AnotherLife)) => Checked::AnotherLife,
-        Ok(Err(NoListing::Silent)) | Err(_) => Checked::Silent,
+        Ok(Err(NoListing::Silent | NoListing::Refused)) | Err(_) => Checked::Silent,
     };
     let is_idle = matches!(&checked, Checked::There(listing) if listing.running.is_empty());
     let known = mutex::lock(&inner.slots).checked(clock::since_boot(), sent, &check, checked);
@@ -159,6 +159,19 @@
             mutex::lock(&inner.slots).another_life(now);
             return None;
         }
+        Ok(Err(NoListing::Refused)) => {
+            let took_work = {
+                let mut slots = mutex::lock(&inner.slots);
+                let before = slots.backend().takes_work;
+                slots.refused(now, &asked);
+                before
+            };
+            flush(inner);
+            if took_work {
+                tell_all(inner);
+            }
+            return None;
+        }
         Ok(Err(NoListing::Silent)) | Err(_) => return None,
     };
     if listed.running.is_empty() {
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -109,7 +109,7 @@
 
     fn unanswered(&self, e: http::Error) -> Failure {
         let code = match e {
-            http::Error::NotSent => Code::NotReached,
+            http::Error::NotSent | http::Error::Refused => Code::NotReached,
             http::Error::Broken | http::Error::TimedOut | http::Error::TooLarge => {
                 Code::Unreachable
             }
--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -4,8 +4,8 @@
 use std::time;
 
 use crate::decide::besteffort::board::{Action, Board};
-use crate::decide::besteffort::job::{JobNo, LinkNo, Outcome, Placed, State};
-use crate::decide::besteffort::message::{Ended, FromAgent, Hello, How, Run};
+use crate::decide::besteffort::job::{Job, JobNo, LinkNo, Outcome, Placed, State};
+use crate::decide::besteffort::message::{Crash, Ended, FromAgent, Hello, How, Run};
 use crate::decide::besteffort::view::View;
 use crate::id;
 
@@ -97,6 +97,7 @@
                     instance = view.backend.life.id.as_str(), born_ms = view.backend.life.born_ms; "agent changed its mind about new work");
             }
         }
+        self.crashed(now, &agent, &line.crashes);
         self.ended(now, &line.ended);
         for progress in &line.progress {
             self.progress(now, &agent, progress);
@@ -107,6 +108,37 @@
         }
     }
 
+    /// Backend servers have crashed. Jobs with a task that was there each time are given up, before the
+    /// task can go to the next one.
+    fn crashed(&mut self, now: time::Duration, agent: &str, crashes: &[Crash]) {
+        let Some(life) = self.agents.get(agent).map(|view| view.life) else {
+            return;
+        };
+        for crash in crashes {
+            self.crashes.hear(now, agent, life, crash);
+        }
+        for name in crashes.iter().flat_map(Crash::suspects) {
+            let Some(no) = self.find(&name.job) else {
+                continue;
+            };
+            let Some(task) = self.crashes.cause_in(&name.job) else {
+                continue;
+            };
+            if let Some(job) = self.jobs.get(&no) {
+                self.log_crashing(job, task);
+            }
+            self.counts.crashing += 1;
+            self.finish(now, no, Outcome::Failed);
+        }
+    }
+
+    pub(super) fn log_crashing(&self, job: &Job, task: id::TaskIndex) {
+        let id = job.ask.job.as_str();
+        let agents = self.crashes.agents(id, task).join(",");
+        log::warn!(job = id, class = job.ask.class.as_str(), task = task, agents = agents.as_str();
+            "job is given up since backend servers crash under its task");
+    }
+
     /// The link to an agent is gone. Its runs may go on until [`Bounds::abandoned`].
     pub fn agent_down(&mut self, now: time::Duration, link: LinkNo) {
         let Some(agent) = self.links.remove(&link) else {
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -14,6 +14,7 @@
 
 use compact_str::CompactString;
 
+use crate::decide::besteffort::crashes::Crashes;
 use crate::decide::besteffort::flow::Flow;
 use crate::decide::besteffort::job::{Job, JobNo, LinkNo, NotRun, Outcome, Rank, Submission};
 use crate::decide::besteffort::learn::Learned;
@@ -64,6 +65,8 @@
     pub moved: u64,
     /// Runs that were lost with an agent or its backend server.
     pub lost: u64,
+    /// Jobs that were given up because backend servers crash under a task of theirs.
+    pub crashing: u64,
     /// From a job's arrival to its answer, by outcome.
     pub took: metrics::Seconds,
     /// From a job's arrival to its first start, by class.
@@ -97,6 +100,7 @@
     queue: BTreeSet<Rank>,
     flow: Flow,
     learned: Learned,
+    crashes: Crashes,
     /// What the driver hasn't fetched yet.
     actions: Vec<Action>,
     /// What the entry did since the start.
@@ -144,6 +148,7 @@
             queue: BTreeSet::new(),
             flow: Flow::default(),
             learned: Learned::open(policy.learning),
+            crashes: Crashes::default(),
             actions: Vec::new(),
             counts: Counts::default(),
             domain: domain.into(),
@@ -170,6 +175,11 @@
         }
         let estimate = self.learned.estimate(&ask.class, ask.declared);
         let job = Job::open(ask, now, estimate);
+        if let Some(task) = self.crashes.cause_in(&job.ask.job) {
+            self.log_crashing(&job, task);
+            self.log_end(now, &job, &Outcome::Failed);
+            return Admitted::Answered(Outcome::Failed);
+        }
         if let Some((why, back)) = self.refusal(now, &job) {
             self.log_end(now, &job, &Outcome::NotRun(why, back));
             return Admitted::Answered(Outcome::NotRun(why, back));
@@ -272,6 +282,7 @@
         self.settle_doubts(now);
         self.give_up(now, |job| now >= job.ask.deadline || job.is_hopeless(now));
         self.learned.compare();
+        self.crashes.forget(now);
         self.forget_endings(now);
         self.dispatch(now);
     }
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -11,6 +11,7 @@
 use compact_str::CompactString;
 
 use crate::decide::besteffort::board::{Action, Board};
+use crate::decide::besteffort::crashes;
 use crate::decide::besteffort::draw;
 use crate::decide::besteffort::job::{Job, JobNo, Placed, State, Task};
 use crate::decide::besteffort::message::Start;
@@ -130,6 +131,11 @@
         let Some(job) = self.jobs.get_mut(&no) else {
             return true;
         };
+        let suspicion = self.crashes.suspicion(&job.ask.job, index);
+        let mut patience = self.policy.placement.patience;
+        if crashes::is_suspect(suspicion) {
+            patience += crashes::PROBATION;
+        }
         view.sent(job.ask.need);
         let number = job.next_run;
         job.next_run += 1;
@@ -151,7 +157,8 @@
             priority: job.ask.priority,
             urgency_ms: job.latest.as_millis() as u64,
             deadline_ms: job.ask.deadline.as_millis() as u64,
-            patience_ms: self.policy.placement.patience.as_millis() as u64,
+            patience_ms: patience.as_millis() as u64,
+            suspicion,
         };
         self.flow
             .started(now, job.ask.need.cpu as f64, job.estimate);
--- /dev/null
+++ b/src/decide/besteffort/crashes.rs
@@ -0,0 +1,138 @@
+//! Which tasks an entry believes to crash backend servers.
+//!
+//! A crash takes down all that runs beside its cause, so that each of those tasks becomes a suspect. Suspicion
+//! is counted in points: a task that had just begun gets [`LIKELY`], any other [`POSSIBLE`]. At [`CAUSE`] it
+//! is taken for the cause and given up, which clears what was beside it: after two crashes for one that
+//! crashes whatever starts it, after four for one that takes a while. Agents tell every entry, so that the
+//! count outlives an entry and holds for a job that is submitted again elsewhere.
+//! `docs/design/crashes.md` has the argument.
+
+use std::collections::{HashMap, HashSet};
+use std::time;
+
+use crate::decide::besteffort::message::{Crash, JobId, TaskName};
+use crate::id;
+
+/// Points of a task that had just begun when the backend server crashed.
+pub const LIKELY: u32 = 2;
+
+/// Points of one that had run for a while.
+pub const POSSIBLE: u32 = 1;
+
+/// Points with which a task is given up.
+pub const CAUSE: u32 = 4;
+
+/// How long after its start a task is the likely cause of a crash. A suspect that has run for so long
+/// without one is let run beside others.
+pub const PROBATION: time::Duration = time::Duration::from_millis(150);
+
+/// How long a crash is remembered: longer than callers submit one job again.
+pub const REMEMBERED: time::Duration = time::Duration::from_secs(15);
+
+/// Most crashes that are remembered.
+const MAX_KNOWN: usize = 512;
+
+/// Whether so many points make a task run apart from others at first.
+pub fn is_suspect(points: u32) -> bool {
+    points >= LIKELY
+}
+
+/// Tells crashes apart: the agent, which life of it, and which of the backend servers beside it.
+type CrashId = (id::AgentId, id::Incarnation, u64);
+
+#[derive(Debug)]
+struct Known {
+    id: CrashId,
+    at: time::Duration,
+    crash: Crash,
+}
+
+/// The crashes that agents have told of.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    known: Vec<Known>,
+    points: HashMap<JobId, HashMap<id::TaskIndex, u32>>,
+}
+
+impl Crashes {
+    /// Takes in what an agent tells of a crash. It replaces what the agent told of it before.
+    pub fn hear(&mut self, now: time::Duration, agent: &str, life: id::Incarnation, crash: &Crash) {
+        let id = (agent.into(), life, crash.server);
+        self.known.retain(|known| known.id != id);
+        if self.known.len() == MAX_KNOWN {
+            self.known.remove(0);
+        }
+        if crash.suspects().next().is_some() {
+            self.known.push(Known {
+                id,
+                at: now,
+                crash: crash.clone(),
+            });
+        }
+        self.count();
+        self.clear_innocent();
+    }
+
+    /// Points of a task.
+    pub fn suspicion(&self, job: &str, task: id::TaskIndex) -> u32 {
+        let tasks = self.points.get(job);
+        tasks
+            .and_then(|tasks| tasks.get(&task))
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// The first task of a job that has to be given up.
+    pub fn cause_in(&self, job: &str) -> Option<id::TaskIndex> {
+        let tasks = self.points.get(job)?.iter();
+        let causes = tasks.filter(|(_, points)| **points >= CAUSE);
+        causes.map(|(task, _)| *task).min()
+    }
+
+    /// The agents whose backend servers have crashed under a task, for the log.
+    pub fn agents(&self, job: &str, task: id::TaskIndex) -> Vec<&str> {
+        let is_meant = |name: &TaskName| name.job == job && name.task == task;
+        let of = self.known.iter();
+        let of = of.filter(|known| known.crash.suspects().any(is_meant));
+        of.map(|known| known.id.0.as_str()).collect()
+    }
+
+    /// Forgets what was too long ago.
+    pub fn forget(&mut self, now: time::Duration) {
+        let before = self.known.len();
+        self.known
+            .retain(|known| now.saturating_sub(known.at) < REMEMBERED);
+        if self.known.len() < before {
+            self.count();
+        }
+    }
+
+    fn count(&mut self) {
+        self.points.clear();
+        for known in &self.known {
+            let likely = known.crash.likely.iter().map(|name| (name, LIKELY));
+            let possible = known.crash.possible.iter().map(|name| (name, POSSIBLE));
+            for (name, points) in likely.chain(possible) {
+                let tasks = self.points.entry(name.job.clone()).or_default();
+                *tasks.entry(name.task).or_default() += points;
+            }
+        }
+    }
+
+    /// A crash whose cause is known tells nothing against what ran beside it.
+    fn clear_innocent(&mut self) {
+        let all = self.known.iter().flat_map(|known| known.crash.suspects());
+        let causes = all.filter(|name| self.suspicion(&name.job, name.task) >= CAUSE);
+        let causes: HashSet<TaskName> = causes.cloned().collect();
+        if causes.is_empty() {
+            return;
+        }
+        for Known { crash, .. } in &mut self.known {
+            if crash.suspects().any(|name| causes.contains(name)) {
+                crash.likely.retain(|name| causes.contains(name));
+                crash.possible.retain(|name| causes.contains(name));
+            }
+        }
+        self.count();
+    }
+}
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -4,6 +4,8 @@
 //! heartbeat. A line of the entry repeats the agent's clock as last heard, so that the agent can
 //! tell how old it is, however long the network held it back.
 
+use std::fmt;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +22,7 @@
 pub type RunNumber = u64;
 
 /// Names one run of one task.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Run {
     /// The job.
     pub job: JobId,
@@ -30,6 +32,52 @@
     pub number: RunNumber,
 }
 
+impl Crash {
+    /// All tasks that may have caused it.
+    pub fn suspects(&self) -> impl Iterator<Item = &TaskName> {
+        self.likely.iter().chain(&self.possible)
+    }
+}
+
+impl Run {
+    /// The task that it is a run of.
+    pub fn task_name(&self) -> TaskName {
+        TaskName {
+            job: self.job.clone(),
+            task: self.task,
+        }
+    }
+}
+
+/// Names one task of a job.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct TaskName {
+    /// The job.
+    pub job: JobId,
+    /// The task inside the job, from 0.
+    pub task: id::TaskIndex,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.job, self.task)
+    }
+}
+
+/// A backend server that has crashed, and what may have caused it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Crash {
+    /// Which of the backend servers beside the agent, counted over the agent's life.
+    pub server: u64,
+    /// Tasks that had just begun on it, or may have.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub likely: Vec<TaskName>,
+    /// Tasks that had run on it for a while. Neither these nor others are named where the backend server
+    /// turned out to be alive.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub possible: Vec<TaskName>,
+}
+
 /// Room on a backend server. Signed, unlike [`Needs`](crate::task::Needs): what is left goes below nothing where a
 /// backend server has shrunk under its runs, or several entries have counted on the same room.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -214,6 +262,9 @@
     /// The backend server, where it changed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub backend: Option<Backend>,
+    /// Crashes of the backend server, whoever's runs it had.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<Crash>,
     /// Runs that have ended.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub ended: Vec<Ended>,
@@ -222,8 +273,12 @@
     pub progress: Vec<Progress>,
 }
 
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 /// An order to start a run.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Start {
     /// The run.
     pub run: Run,
@@ -239,6 +294,10 @@
     pub deadline_ms: u64,
     /// Longest that it may wait at the agent for room.
     pub patience_ms: u64,
+    /// How much speaks for its task as the cause of crashes; see
+    /// [`crashes`](crate::decide::besteffort::crashes).
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub suspicion: u32,
 }
 
 /// Work that waits at an entry for room: its most urgent task, and how many tasks there are.
--- a/src/decide/besteffort/mod.rs
+++ b/src/decide/besteffort/mod.rs
@@ -3,7 +3,7 @@
 //! The entry that a job came to is its only owner: [`board`] holds the jobs, places their tasks on
 //! agents and decides what a loss means; [`view`] is what an entry knows of one agent; [`learn`]
 //! turns run times into estimates; [`asking`] says which agents are asked for room, [`draw`] which of
-//! those that suit a task alike gets it; [`policy`] holds every threshold of these decisions.
+//! those that suit a task alike gets it; [`crashes`] which tasks crash what they run on; [`policy`] holds every threshold of these decisions.
 //!
 //! At the agent, [`slots`] shares the backend server's room between entries and makes sure that nothing
 //! outlives the entry that asked for it; [`lease`] reckons how long the backend server may go on by
@@ -12,6 +12,7 @@
 
 pub mod asking;
 pub mod board;
+pub mod crashes;
 pub mod draw;
 pub mod evacuation;
 pub mod flow;
--- a/src/decide/besteffort/slots/counts.rs
+++ b/src/decide/besteffort/slots/counts.rs
@@ -34,6 +34,8 @@
     pub stops: u64,
     /// Times that the lease ran out, or the backend server crashed, under runs; by which it was.
     pub lost: BTreeMap<&'static str, u64>,
+    /// Crashes of the backend server under runs that may have caused them.
+    pub crashes: u64,
     /// Lives of the backend server that were taken up.
     pub lives: u64,
     /// Words of it that came too late to tell anything. Some are overtaken now and then; many on end tell
--- /dev/null
+++ b/src/decide/besteffort/slots/crashes.rs
@@ -0,0 +1,221 @@
+//! Crashes of the backend server, the runs that may have caused them, and how suspects are kept apart.
+//!
+//! Silence is no sign of a crash: a cut link or a process that stands still looks the same, and a planned stop
+//! says so before. A crash is known by a connection that is refused, or by another life that has answered,
+//! of a backend server that hadn't said that it leaves.
+
+use std::collections::VecDeque;
+use std::time;
+
+use crate::decide::besteffort::crashes::{is_suspect, PROBATION, REMEMBERED};
+use crate::decide::besteffort::message::{Crash, Run, Start, TaskName};
+use crate::decide::besteffort::slots::{Held, Recipient, Slots, State};
+
+/// How a suspect is kept from other work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Isolation {
+    /// Not at all.
+    Together,
+    /// Nothing else begins shortly before it and while it is on probation, so that a crash in that time is
+    /// its own. What has run for longer goes on.
+    #[default]
+    Probation,
+    /// Nothing else runs beside it.
+    Alone,
+}
+
+/// A task that was with a backend server.
+#[derive(Clone, Debug)]
+struct WithServer {
+    name: TaskName,
+    /// Whether it had just begun when the backend server was heard last.
+    young: bool,
+    suspect: bool,
+}
+
+/// What an agent knows of crashes.
+#[derive(Debug, Default)]
+pub(super) struct Crashes {
+    /// The newest ones, and when they were found.
+    known: VecDeque<(time::Duration, Crash)>,
+    /// Whether the known life has refused a connection since it last answered.
+    refused: bool,
+    /// What was with the known life when it was given up as lost.
+    lost: Vec<WithServer>,
+}
+
+impl Crashes {
+    /// All that is known, for an entry that has just connected.
+    pub(super) fn all(&self) -> Vec<Crash> {
+        self.known.iter().map(|(_, crash)| crash.clone()).collect()
+    }
+}
+
+impl Slots {
+    /// Sets how suspects are kept from other work.
+    pub fn isolate(&mut self, isolation: Isolation) {
+        self.isolation = isolation;
+    }
+
+    /// Nothing listens where a life of the backend server was asked.
+    pub fn refused(&mut self, now: time::Duration, to: &Recipient) {
+        if *to != self.recipient() || to.life.id.is_empty() {
+            return;
+        }
+        self.reach(now, false);
+        if !self.crashes.refused {
+            self.crashes.refused = true;
+            self.crashed(now);
+        }
+    }
+
+    /// The life that was known has ended. What was with it is suspected, unless it had said that it leaves.
+    pub(super) fn life_ended(&mut self, now: time::Duration) {
+        if !self.crashes.refused {
+            self.crashed(now);
+        }
+        self.crashes.refused = false;
+        self.crashes.lost.clear();
+    }
+
+    /// The known life has answered: whatever looked like a crash was none.
+    pub(super) fn life_answered(&mut self, now: time::Duration) {
+        self.crashes.lost.clear();
+        if std::mem::take(&mut self.crashes.refused) {
+            self.blame(now, Vec::new(), Vec::new());
+        }
+    }
+
+    /// Remembers what is given up with the backend server, until it is known what became of that.
+    pub(super) fn remember_lost(&mut self, now: time::Duration, run: &Run) {
+        let lost = self.held.get(run).map(|held| self.with_server(now, held));
+        self.crashes.lost.extend(lost);
+    }
+
+    /// A start had no answer. Where the backend server has crashed meanwhile, it may have begun.
+    pub(super) fn unanswered(&mut self, now: time::Duration) {
+        if self.crashes.refused {
+            self.crashed(now);
+        }
+    }
+
+    /// When the backend server was last known to be up: it had listed what it has, or taken a start.
+    fn last_up(&self, now: time::Duration) -> time::Duration {
+        let listed = now.saturating_sub(self.lease.heard_ago(now).unwrap_or_default());
+        let held = self.held.values();
+        let running = held.filter(|held| held.state == State::Running);
+        running.map(|held| held.since).fold(listed, Ord::max)
+    }
+
+    fn with_server(&self, now: time::Duration, held: &Held) -> WithServer {
+        WithServer {
+            name: held.start.run.task_name(),
+            young: self.last_up(now) < held.since + PROBATION,
+            suspect: is_suspect(held.start.suspicion),
+        }
+    }
+
+    fn crashed(&mut self, now: time::Duration) {
+        if !self.backend.takes_work {
+            return;
+        }
+        let at_work = |state| matches!(state, State::Running | State::Unsure | State::Closing);
+        let held = self.held.values().filter(|held| at_work(held.state));
+        let held = held.map(|held| self.with_server(now, held));
+        let all: Vec<WithServer> = held.chain(self.crashes.lost.iter().cloned()).collect();
+        let on_probation = |task: &WithServer| task.suspect && task.young;
+        let found = all.iter().any(on_probation);
+        let blamed = all.into_iter().filter(|task| !found || on_probation(task));
+        let (likely, possible): (Vec<_>, Vec<_>) = blamed.partition(|task| task.young);
+        let names = |tasks: Vec<WithServer>| tasks.into_iter().map(|task| task.name).collect();
+        let (likely, possible): (Vec<TaskName>, Vec<TaskName>) = (names(likely), names(possible));
+        let Some(first) = likely.first().or(possible.first()) else {
+            return;
+        };
+        log::warn!(instance = self.backend.life.id.as_str(), born_ms = self.backend.life.born_ms,
+            likely = likely.len(), possible = possible.len(), first = first.to_string().as_str();
+            "backend server has crashed");
+        self.counts.crashes += 1;
+        self.blame(now, likely, possible);
+    }
+
+    /// Tells all entries whom the crash of the known life is blamed on.
+    fn blame(&mut self, now: time::Duration, likely: Vec<TaskName>, possible: Vec<TaskName>) {
+        let crash = Crash {
+            server: self.counts.lives,
+            likely,
+            possible,
+        };
+        let known = &mut self.crashes.known;
+        known.retain(|(_, other)| other.server != crash.server);
+        known.push_back((now, crash.clone()));
+        for entry in self.entries.values_mut() {
+            entry.crashes.push(crash.clone());
+        }
+    }
+
+    /// Forgets crashes of long ago.
+    pub(super) fn forget_crashes(&mut self, now: time::Duration) {
+        let known = &mut self.crashes.known;
+        while known
+            .front()
+            .is_some_and(|(at, _)| now.saturating_sub(*at) > REMEMBERED)
+        {
+            known.pop_front();
+        }
+    }
+
+    /// Whether a start has to wait because of a suspect: itself, or one that waits or is on probation.
+    pub(super) fn is_kept_apart(&self, now: time::Duration, start: &Start) -> bool {
+        if self.isolation == Isolation::Together {
+            return false;
+        }
+        let alone = self.isolation == Isolation::Alone;
+        let is_young = |held: &Held| alone || now < held.since + PROBATION;
+        let others = || {
+            self.held
+                .values()
+                .filter(|held| held.start.run != start.run)
+        };
+        let begun = || others().filter(|held| held.state != State::Waiting);
+        if is_suspect(start.suspicion) {
+            return begun().any(is_young);
+        }
+        let suspects = || {
+            self.held
+                .values()
+                .filter(|held| is_suspect(held.start.suspicion))
+        };
+        suspects().any(|held| held.state == State::Waiting || is_young(held))
+    }
+
+    /// Whether the room is kept for a suspect.
+    pub(super) fn is_reserved(&self, now: time::Duration) -> bool {
+        let other = Start::default();
+        self.is_kept_apart(now, &other)
+    }
+
+    /// Suspects that wait while another one waits or is on probation. They are turned away, to go elsewhere.
+    pub(super) fn crowded_suspects(&self, now: time::Duration) -> Vec<Run> {
+        let alone = self.isolation == Isolation::Alone;
+        let suspects = || {
+            self.held
+                .values()
+                .filter(|held| is_suspect(held.start.suspicion))
+        };
+        let mut begun = suspects().filter(|held| held.state != State::Waiting);
+        let taken = begun.any(|held| alone || now < held.since + PROBATION);
+        let waiting = self
+            .waiting
+            .iter()
+            .filter_map(|(.., run)| self.held.get(run));
+        let waiting = waiting.filter(|held| is_suspect(held.start.suspicion));
+        let crowded = waiting.skip(usize::from(!taken));
+        match self.isolation {
+            Isolation::Together => Vec::new(),
+            Isolation::Probation | Isolation::Alone => {
+                crowded.map(|held| held.start.run.clone()).collect()
+            }
+        }
+    }
+}
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -14,6 +14,7 @@
         entry.ended.clear();
         entry.wants = None;
         entry.loan = None;
+        entry.crashes = self.crashes.all();
         entry.heard = now;
         entry.alive_until = now + self.bounds.silence;
         let ended = entry.kept.iter().cloned().collect();
@@ -83,6 +84,7 @@
         };
         if let Some(entry) = self.entries.get_mut(name) {
             line.ended = std::mem::take(&mut entry.ended);
+            line.crashes = std::mem::take(&mut entry.crashes);
             if let Some(loan) = entry.loan.as_mut().filter(|loan| loan.told_ms.is_none()) {
                 loan.told_ms = Some(now_ms);
                 line.lent = loan.room;
@@ -113,6 +115,6 @@
     pub fn has_news(&self, name: &EntryName) -> bool {
         let entry = self.entries.get(name);
         let untold = |e: &Entry| e.loan.is_some_and(|loan| loan.told_ms.is_none());
-        entry.is_some_and(|e| !e.ended.is_empty() || untold(e))
+        entry.is_some_and(|e| !e.ended.is_empty() || !e.crashes.is_empty() || untold(e))
     }
 }
--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -195,6 +195,7 @@
         }
         log::info!(instance = life.id.as_str(), born_ms = life.born_ms,
             before = self.backend.life.id.as_str(), held = self.held.len(); "backend server has a new life");
+        self.life_ended(now);
         self.counts.lives += 1;
         // What is known of the clock and the lease is of the life before.
         if life.id == self.backend.life.id {
@@ -244,7 +245,9 @@
         let is_meant = |known: &ServerLife| {
             known.id == life.id && (life.born_ms.is_none() || known.born_ms == life.born_ms)
         };
-        if is_meant(&self.backend.life) {
+        let known = is_meant(&self.backend.life);
+        log::info!(instance = life.id.as_str(), born_ms = life.born_ms, known = known; "backend server has left");
+        if known {
             self.backend.takes_work = false;
             self.pump(now);
         }
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -6,6 +6,7 @@
 //! certain that they don't.
 
 mod counts;
+mod crashes;
 mod entries;
 mod held;
 mod lend;
@@ -19,10 +20,11 @@
 use crate::decide::besteffort::evacuation;
 use crate::decide::besteffort::lease::{Bounds, Lease};
 use crate::decide::besteffort::message::{
-    Backend, Ended, EntryName, How, Room, Run, ServerLife, Wants,
+    Backend, Crash, Ended, EntryName, How, Room, Run, ServerLife, Wants,
 };
 
 pub use counts::{Counts, PassedOver};
+pub use crashes::Isolation;
 use held::{Held, State};
 pub use lives::{Check, Checked};
 pub use order::{Listing, Order, Recipient, StartAnswer};
@@ -52,6 +54,8 @@
     heard: time::Duration,
     ended: Vec<Ended>,
     kept: VecDeque<Ended>,
+    /// Crashes that it hasn't been told of.
+    crashes: Vec<Crash>,
     /// What waits there.
     wants: Option<Wants>,
     /// Room that is kept for it.
@@ -86,6 +90,10 @@
     /// When runs that nobody here asked for were told to stop.
     alien_stops: BTreeMap<Run, time::Duration>,
     stopping: bool,
+    crashes: crashes::Crashes,
+    isolation: Isolation,
+    /// Whether a suspect keeps others from beginning.
+    reserved: bool,
     /// The newest word on whether the agent's failure domain is evacuated.
     evacuation: evacuation::Word,
     /// Whether the backend server was heard lately, and nothing lengthens its lease beyond what the agent
@@ -120,6 +128,9 @@
             orders: Vec::new(),
             alien_stops: BTreeMap::new(),
             stopping: false,
+            crashes: crashes::Crashes::default(),
+            isolation: Isolation::default(),
+            reserved: false,
             evacuation: evacuation::Word::default(),
             reached: false,
             counts: Counts::default(),
@@ -158,6 +169,9 @@
 
     /// Room that nobody uses or waits for.
     pub fn free(&self) -> Room {
+        if self.reserved {
+            return Room::default();
+        }
         let waiting = self
             .waiting
             .iter()
@@ -242,6 +256,7 @@
             self.unwant(now, &run);
         }
         self.stop_again(now);
+        self.forget_crashes(now);
         self.entries
             .retain(|_, e| now.saturating_sub(e.heard) < FORGET_ENTRY);
         self.pump(now);
@@ -330,6 +345,10 @@
         for run in ahead {
             self.start_if_fits(now, &run);
         }
+        for run in self.crowded_suspects(now) {
+            self.end(now, &run, How::NotRun);
+        }
+        self.reserved = self.is_reserved(now);
         self.lend(now);
     }
 
@@ -345,7 +364,8 @@
 
     fn start_if_fits(&mut self, now: time::Duration, run: &Run) {
         let free = self.backend.size.minus(&self.used);
-        let fits = |held: &Held| free.fits(&held.start.need);
+        let fits =
+            |held: &Held| free.fits(&held.start.need) && !self.is_kept_apart(now, &held.start);
         if !self.held.get(run).is_some_and(fits) || self.has_earlier(run) {
             return;
         }
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -24,6 +24,7 @@
             *self.counts.lost.entry(why).or_default() += 1;
         }
         for run in gone {
+            self.remember_lost(now, &run);
             self.end(now, &run, How::Gone);
         }
     }
@@ -108,6 +109,7 @@
                 log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
                     "start had no answer");
                 self.send_stop(now, run);
+                self.unanswered(now);
             }
         }
         self.pump(now);
@@ -144,6 +146,7 @@
             return;
         }
         self.newest_ms = listing.clock_ms;
+        self.life_answered(now);
         self.lease.heard(sent, now, listing.clock_ms);
         let is_long = self.lease.is_long(now);
         self.reach(now, !is_long);
--- a/src/wire/backend.rs
+++ b/src/wire/backend.rs
@@ -78,7 +78,9 @@
     }
     match client.call(call, limit).await {
         Ok(answer) => read(&answer),
-        Err(http::Error::NotSent) => task::Outcome::Failed(code::Code::WorkerBusy),
+        Err(http::Error::NotSent | http::Error::Refused) => {
+            task::Outcome::Failed(code::Code::WorkerBusy)
+        }
         Err(http::Error::TimedOut) => task::Outcome::Failed(code::Code::TaskTimeout),
         Err(http::Error::TooLarge) => task::Outcome::Failed(code::Code::AnswerTooLarge),
         Err(http::Error::Broken) => task::Outcome::Failed(code::Code::AnswerTruncated),
--- a/src/wire/http.rs
+++ b/src/wire/http.rs
@@ -1,6 +1,8 @@
 //! A small HTTP client over `hyper-util`, shared by the interfaces that speak HTTP.
 
+use std::error::Error as _;
 use std::fmt;
+use std::io;
 use std::time;
 
 use bytes::Bytes;
@@ -17,6 +19,8 @@
 pub enum Error {
     /// No connection was made, so the other side saw nothing.
     NotSent,
+    /// The connection was refused: nothing listens there, and so nothing was sent.
+    Refused,
     /// The request left; whether it took effect can't be told.
     Broken,
     /// The time ran out after the request left.
@@ -29,6 +33,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let text = match self {
             Error::NotSent => "no connection could be made",
+            Error::Refused => "nothing listens there",
             Error::Broken => "the connection broke before the whole answer came",
             Error::TimedOut => "no answer came in time",
             Error::TooLarge => "the answer was over the limit",
@@ -115,7 +120,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] is the only one that proves the other side saw nothing.
+    /// [`Error::NotSent`] and [`Error::Refused`] are the only ones that prove the other side saw nothing.
     pub async fn call(&self, call: Call, limit: time::Duration) -> Result<Answer, Error> {
         match timeout(limit, self.exchange(call)).await {
             Ok(result) => result,
@@ -132,10 +137,12 @@
             .body(Full::new(call.body))
             .map_err(|_| Error::NotSent)?;
         let res = self.inner.request(req).await.map_err(|e| {
-            if e.is_connect() {
-                Error::NotSent
-            } else {
+            if !e.is_connect() {
                 Error::Broken
+            } else if is_refused(&e) {
+                Error::Refused
+            } else {
+                Error::NotSent
             }
         })?;
         let status = res.status();
@@ -153,3 +160,15 @@
         })
     }
 }
+
+fn is_refused(e: &legacy::Error) -> bool {
+    let mut cause = e.source();
+    while let Some(e) = cause {
+        let io = e.downcast_ref::<io::Error>();
+        if io.is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = e.source();
+    }
+    false
+}
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -333,7 +333,7 @@
 
 fn from_http(error: http::Error) -> Error {
     match error {
-        http::Error::NotSent => Error::NotDone,
+        http::Error::NotSent | http::Error::Refused => Error::NotDone,
         http::Error::Broken | http::Error::TimedOut | http::Error::TooLarge => Error::Unknown,
     }
 }
--- /dev/null
+++ b/tests/besteffort_crashes.rs
@@ -0,0 +1,308 @@
+//! Backend servers that crash under a task: what counts as a crash, whom it is blamed on, and what its
+//! entries make of it.
+
+mod support;
+
+use std::time::Duration;
+
+use lovagemill::decide::besteffort::crashes::{Crashes, CAUSE, LIKELY, POSSIBLE, PROBATION};
+use lovagemill::decide::besteffort::lease::Bounds;
+use lovagemill::decide::besteffort::message::{Crash, How, Run, ServerLife, Start, TaskName};
+use lovagemill::decide::besteffort::slots::{Checked, Listing, Order, Slots, StartAnswer};
+
+use support::besteffort::{self, ends, entry, heartbeat, run};
+
+const START: u64 = 10_000;
+
+fn ms(at: u64) -> Duration {
+    Duration::from_millis(at)
+}
+
+fn listing(at: u64, running: &[Run]) -> Listing {
+    let running = running.iter().map(|run| (run.clone(), 10)).collect();
+    Listing {
+        clock_ms: at,
+        ..besteffort::listed(running, Vec::new())
+    }
+}
+
+/// An agent whose backend server is known, and an entry that is heard.
+fn open() -> Slots {
+    let mut slots = Slots::open(Bounds::default());
+    let check = slots.announced(ms(START), heartbeat("life"));
+    let there = Checked::There(listing(START, &[]));
+    assert!(slots.checked(ms(START), ms(START), &check.expect("a new life"), there));
+    slots.entry_up(ms(START), &entry("e"));
+    slots
+}
+
+fn suspect(run: Run, points: u32) -> Start {
+    Start {
+        suspicion: points,
+        patience_ms: 60_000,
+        ..besteffort::start(run, START)
+    }
+}
+
+/// Sends a start and returns whether it was passed on.
+fn begins(slots: &mut Slots, at: u64, start: Start) -> bool {
+    let run = start.run.clone();
+    slots.heard(ms(at), &entry("e"), at);
+    slots.start(ms(at), &entry("e"), true, start);
+    is_ordered(slots, at, &run)
+}
+
+fn is_ordered(slots: &mut Slots, at: u64, wanted: &Run) -> bool {
+    let orders = slots.orders();
+    let found = orders
+        .iter()
+        .any(|order| matches!(order, Order::Start { run, .. } if run == wanted));
+    if found {
+        slots.answered(ms(at), wanted, StartAnswer::Accepted);
+    }
+    found
+}
+
+fn told(slots: &mut Slots, at: u64) -> Vec<Crash> {
+    slots.line(&entry("e"), ms(at)).crashes
+}
+
+fn name(run: &Run) -> TaskName {
+    run.task_name()
+}
+
+/// A cut link or a backend server that stands still passes for a crash, and sound jobs are given up.
+#[test]
+fn silence_is_no_crash() {
+    let mut slots = open();
+    let task = run("job", 0, 1);
+    assert!(begins(
+        &mut slots,
+        START,
+        besteffort::start(task.clone(), START)
+    ));
+    for at in (START..START + 2_000).step_by(20) {
+        slots.heard(ms(at), &entry("e"), at);
+        slots.tick(ms(at));
+    }
+    let after = START + 2_000;
+    assert_eq!(
+        ends(&mut slots, &entry("e"), ms(after)),
+        [(task, How::Gone)]
+    );
+    slots.listed(ms(after), ms(after), listing(after, &[]));
+    assert_eq!(told(&mut slots, after), []);
+}
+
+/// A planned stop passes for a crash: the backend server had said that it leaves.
+#[test]
+fn a_planned_stop_is_no_crash() {
+    let mut slots = open();
+    assert!(begins(
+        &mut slots,
+        START,
+        besteffort::start(run("job", 0, 1), START)
+    ));
+    let mut leaving = heartbeat("life");
+    leaving.number = 2;
+    leaving.backend.takes_work = false;
+    slots.announced(ms(START + 10), leaving);
+    let to = slots.recipient();
+    slots.refused(ms(START + 20), &to);
+    let check = slots.announced(ms(START + 30), heartbeat("next"));
+    let there = Checked::There(listing(START + 30, &[]));
+    slots.checked(ms(START + 30), ms(START + 30), &check.expect("new"), there);
+    assert_eq!(told(&mut slots, START + 30), []);
+}
+
+/// A connection that was refused by a backend server that lives on is taken back.
+#[test]
+fn a_backend_server_that_answers_again_has_not_crashed() {
+    let mut slots = open();
+    let task = run("job", 0, 1);
+    assert!(begins(
+        &mut slots,
+        START,
+        besteffort::start(task.clone(), START)
+    ));
+    let to = slots.recipient();
+    slots.refused(ms(START + 20), &to);
+    let crash = told(&mut slots, START + 20);
+    assert_eq!(crash[0].likely, [name(&task)]);
+    slots.listed(ms(START + 40), ms(START + 40), listing(START + 40, &[task]));
+    let crash = told(&mut slots, START + 40);
+    assert_eq!(crash[0].suspects().count(), 0, "taken back");
+}
+
+/// A crash that made no noise is known by the next life; an entry that connects later hears of it too.
+#[test]
+fn another_life_tells_of_a_crash() {
+    let mut slots = open();
+    let (old, young) = (run("old", 0, 1), run("young", 0, 1));
+    assert!(begins(
+        &mut slots,
+        START,
+        besteffort::start(old.clone(), START)
+    ));
+    let at = START + 200;
+    slots.listed(ms(at), ms(at), listing(at, &[old.clone()]));
+    assert!(begins(&mut slots, at, besteffort::start(young.clone(), at)));
+    let mut next = heartbeat("life");
+    next.backend.life = ServerLife {
+        born_ms: Some(7),
+        ..ServerLife::named("life")
+    };
+    let check = slots.announced(ms(at + 10), next).expect("another start");
+    let there = Checked::There(Listing {
+        born_ms: Some(7),
+        ..listing(5, &[])
+    });
+    assert!(slots.checked(ms(at + 10), ms(at + 10), &check, there));
+    slots.entry_up(ms(at + 20), &entry("later"));
+    let crash = slots.line(&entry("later"), ms(at + 20)).crashes;
+    assert_eq!(crash[0].likely, [name(&young)]);
+    assert_eq!(crash[0].possible, [name(&old)]);
+}
+
+/// A start that had no answer since the backend server crashed under it isn't suspected.
+#[test]
+fn a_start_without_an_answer_is_suspected() {
+    let mut slots = open();
+    let task = run("job", 0, 1);
+    slots.heard(ms(START), &entry("e"), START);
+    slots.start(
+        ms(START),
+        &entry("e"),
+        true,
+        besteffort::start(task.clone(), START),
+    );
+    let to = slots.recipient();
+    slots.refused(ms(START + 20), &to);
+    assert_eq!(told(&mut slots, START + 20), [], "it may never have begun");
+    slots.answered(ms(START + 50), &task, StartAnswer::Unknown);
+    assert_eq!(told(&mut slots, START + 50)[0].likely, [name(&task)]);
+}
+
+/// A crash on a suspect's probation is blamed on what ran beside it. Nothing begins shortly before it nor
+/// while it is on probation; then others do.
+#[test]
+fn nothing_begins_beside_a_suspect_on_probation() {
+    let probation = PROBATION.as_millis() as u64;
+    let mut slots = open();
+    let (first, suspected, other) = (
+        run("first", 0, 1),
+        run("suspected", 0, 1),
+        run("other", 0, 1),
+    );
+    assert!(begins(
+        &mut slots,
+        START,
+        besteffort::start(first.clone(), START)
+    ));
+    assert!(!begins(
+        &mut slots,
+        START + 10,
+        suspect(suspected.clone(), LIKELY)
+    ));
+    assert!(!begins(
+        &mut slots,
+        START + 10,
+        besteffort::start(other.clone(), START)
+    ));
+    assert_eq!(slots.free(), Default::default(), "the room is kept");
+    let at = START + probation;
+    slots.heard(ms(at), &entry("e"), at);
+    slots.listed(ms(at), ms(at), listing(at, &[first]));
+    slots.tick(ms(at));
+    assert!(is_ordered(&mut slots, at, &suspected));
+    slots.tick(ms(at + 20));
+    assert!(!is_ordered(&mut slots, at, &other));
+
+    let another = run("another", 0, 1);
+    assert!(!begins(
+        &mut slots,
+        at + 20,
+        suspect(another.clone(), LIKELY)
+    ));
+    assert_eq!(
+        ends(&mut slots, &entry("e"), ms(at + 20)),
+        [(another, How::NotRun)],
+        "it goes elsewhere at once"
+    );
+    let to = slots.recipient();
+    let mut crashed = slots;
+    let at = at + probation;
+    crashed.heard(ms(at), &entry("e"), at);
+    crashed.refused(ms(at), &to);
+    let crash = &told(&mut crashed, at)[0];
+    assert_eq!(
+        (&crash.likely[..], &crash.possible[..]),
+        (&[name(&suspected)][..], &[][..])
+    );
+}
+
+/// After its probation a suspect holds nobody up.
+#[test]
+fn others_begin_after_a_suspects_probation() {
+    let probation = PROBATION.as_millis() as u64;
+    let mut slots = open();
+    let suspected = run("suspected", 0, 1);
+    assert!(begins(
+        &mut slots,
+        START,
+        suspect(suspected.clone(), LIKELY)
+    ));
+    let at = START + probation + 1;
+    slots.listed(ms(at), ms(at), listing(at, &[suspected]));
+    assert!(begins(
+        &mut slots,
+        at,
+        besteffort::start(run("other", 0, 1), at)
+    ));
+}
+
+fn crash(server: u64, likely: &[&TaskName], possible: &[&TaskName]) -> Crash {
+    let names = |names: &[&TaskName]| names.iter().map(|name| (*name).clone()).collect();
+    Crash {
+        server,
+        likely: names(likely),
+        possible: names(possible),
+    }
+}
+
+/// A sound job is given up for what ran beside it: the cause of both crashes clears the others.
+#[test]
+fn a_cause_clears_what_ran_beside_it() {
+    let tasks: Vec<TaskName> = (0..3).map(|n| name(&run("job", n, 1))).collect();
+    let [cause, beside, old] = &tasks[..] else {
+        unreachable!("three were made")
+    };
+    let mut crashes = Crashes::default();
+    crashes.hear(ms(0), "a", 1, &crash(1, &[cause, beside], &[old]));
+    assert_eq!(crashes.suspicion("job", 1), LIKELY);
+    assert_eq!(crashes.suspicion("job", 2), POSSIBLE);
+    assert_eq!(crashes.cause_in("job"), None);
+    // The same crash, told once more.
+    crashes.hear(ms(1), "a", 1, &crash(1, &[cause, beside], &[old]));
+    assert_eq!(crashes.suspicion("job", 0), LIKELY);
+    crashes.hear(ms(2), "b", 1, &crash(1, &[cause], &[]));
+    assert_eq!(crashes.suspicion("job", 0), CAUSE);
+    assert_eq!(crashes.cause_in("job"), Some(0));
+    assert_eq!(crashes.agents("job", 0), ["a", "b"]);
+    assert_eq!(
+        (crashes.suspicion("job", 1), crashes.suspicion("job", 2)),
+        (0, 0)
+    );
+    crashes.forget(ms(60_000));
+    assert_eq!(crashes.cause_in("job"), None);
+}
+
+/// A crash that was taken back is held against a task for good.
+#[test]
+fn a_crash_that_is_taken_back_counts_no_more() {
+    let task = name(&run("job", 0, 1));
+    let mut crashes = Crashes::default();
+    crashes.hear(ms(0), "a", 1, &crash(1, &[&task], &[]));
+    crashes.hear(ms(1), "a", 1, &crash(1, &[], &[]));
+    assert_eq!(crashes.suspicion("job", 0), 0);
+}
--- a/tests/besteffort_load/load.rs
+++ b/tests/besteffort_load/load.rs
@@ -1,9 +1,11 @@
 //! What is played, and what callers got of it.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use lovagemill::decide::besteffort::job::Submission;
-use lovagemill::decide::besteffort::message::Room;
+use lovagemill::decide::besteffort::message::{Room, Run};
+use lovagemill::decide::besteffort::slots::Isolation;
 
 /// Tasks that a worker has room for.
 pub const PLACES: u64 = 10;
@@ -30,9 +32,28 @@
     /// Starts without an answer, in a hundred.
     pub unanswered: u32,
     pub claims: Claims,
+    /// One job in so many of the first class has a task that crashes each backend server that starts it;
+    /// none if 0.
+    pub crashing: u64,
+    /// How such tasks are kept from others.
+    pub isolation: Isolation,
     pub seconds: u64,
 }
 
+impl Load {
+    /// Whether a run crashes its backend server.
+    pub fn crashes(&self, run: &Run) -> bool {
+        run.task == 0 && self.has_crashing_task(&run.job)
+    }
+
+    /// Whether a task of a job does.
+    pub fn has_crashing_task(&self, job: &str) -> bool {
+        let (number, class) = job.split_at(job.len() - 1);
+        let number = u64::from_str_radix(number, 16).expect("numbered by the play");
+        self.crashing > 0 && class == "0" && number.is_multiple_of(self.crashing)
+    }
+}
+
 /// The jobs of one class.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Jobs {
@@ -62,8 +83,12 @@
 pub struct Seen {
     pub starts: u64,
     pub tasks_done: u64,
-    /// By class.
+    /// By class; without those that have a task which crashes backend servers.
     pub jobs: [Jobs; 3],
+    /// Sound jobs that were shown as failed.
+    pub sound_failed: u64,
+    /// Backend servers that each task has crashed.
+    pub crashed: BTreeMap<(String, u32), u32>,
     /// Time that places were at work on runs that were done, and all the time there was, in
     /// microseconds.
     pub worked: u64,
@@ -79,6 +104,11 @@
         self.worked as f64 / self.room as f64
     }
 
+    /// Most backend servers that one task has crashed.
+    pub fn most_crashed(&self) -> u32 {
+        self.crashed.values().copied().max().unwrap_or(0)
+    }
+
     pub fn refused(&self) -> u64 {
         self.jobs.iter().map(|jobs| jobs.refused).sum()
     }
--- a/tests/besteffort_load/main.rs
+++ b/tests/besteffort_load/main.rs
@@ -6,7 +6,8 @@
 mod schedule;
 mod world;
 
-use load::{Claims, Load};
+use load::{Claims, Load, Seen};
+use lovagemill::decide::besteffort::slots::Isolation;
 use world::World;
 
 /// Twelve entries, 68 workers of ten places.
@@ -16,6 +17,8 @@
     times_capacity: 1.5,
     unanswered: 5,
     claims: Claims::Lent,
+    crashing: 0,
+    isolation: Isolation::Probation,
     seconds: 1,
 };
 
@@ -90,3 +93,55 @@
         assert!(jobs.late() <= 0.01, "{seen:?}");
     }
 }
+
+/// At most of the load, one job in a hundred of the most urgent class crashes what starts it.
+fn with_crashing_tasks(entries: usize, agents: usize, isolation: Isolation) -> (Seen, Seen) {
+    let calm = Load {
+        entries,
+        agents,
+        times_capacity: 0.8,
+        unanswered: 0,
+        seconds: 4,
+        isolation,
+        ..GROWN
+    };
+    let crashing = Load {
+        crashing: 100,
+        ..calm
+    };
+    (World::open(3, calm).play(), World::open(3, crashing).play())
+}
+
+/// Every caller's work is lost again and again, because a task that crashes backend servers is started on one
+/// after the other. It crashes two at most, and no sound job is given up.
+#[test]
+fn tasks_that_crash_backend_servers_are_given_up() {
+    for (entries, agents) in [(4, 11), (12, 68)] {
+        let (_, seen) = with_crashing_tasks(entries, agents, Isolation::Probation);
+        assert!(!seen.crashed.is_empty(), "tasks do crash");
+        assert!(seen.most_crashed() <= 2, "{seen:?}");
+        assert_eq!(seen.sound_failed, 0, "{seen:?}");
+    }
+}
+
+/// Without isolation, sound jobs that were beside a crash twice are given up with its cause.
+#[test]
+fn suspects_that_run_beside_others_take_sound_jobs_along() {
+    let (_, seen) = with_crashing_tasks(4, 11, Isolation::Together);
+    assert!(seen.sound_failed > 0, "{seen:?}");
+}
+
+/// What the crashes of such tasks cost the callers of all others. A crash loses what runs beside it and a
+/// backend server for seconds.
+#[test]
+fn tasks_that_crash_backend_servers_cost_others_little() {
+    for (entries, agents) in [(4, 11), (12, 68)] {
+        let (calm, seen) = with_crashing_tasks(entries, agents, Isolation::Probation);
+        for (before, after) in calm.jobs.iter().zip(&seen.jobs) {
+            assert!(
+                after.in_time() >= 0.97 * before.in_time(),
+                "{calm:?}, {seen:?}"
+            );
+        }
+    }
+}
--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -117,6 +117,29 @@
     assert!(sound.is_empty(), "sound jobs are given up: {sound:?}");
 }
 
+/// Suspects that run beside others: a sound job that was beside two crashes is given up. Crashes that nobody
+/// is told of: a task crashes a third backend server.
+#[test]
+fn what_keeps_crashes_few_and_sound_jobs_going_is_found() {
+    let found = |guards, is_wrong: fn(&Crashed) -> bool| {
+        let seen =
+            (0..SEEDS).map(|seed| World::open(seed, guards, Faults::crashing_tasks()).crashes());
+        seen.filter(is_wrong).count()
+    };
+    let together = Guards {
+        isolates: false,
+        ..Guards::default()
+    };
+    let untold = Guards {
+        tells_crashes: false,
+        ..Guards::default()
+    };
+    let sound = found(together, |seen| seen.sound_failed > 0);
+    let more = found(untold, |seen| seen.most > 2);
+    assert!(sound > 0 && more > 0, "{sound}, {more}");
+    println!("found with {sound} and {more} of {SEEDS} seeds");
+}
+
 /// The same while entries and agents die, freeze and are cut off, so that what was known of a task may be
 /// lost. The platform's bound still holds: no three starts after three crashes.
 #[test]
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -49,6 +49,10 @@
     pub checks_life: bool,
     pub says_born: bool,
     pub fences_lives: bool,
+    /// Suspects of a crash run apart from others.
+    pub isolates: bool,
+    /// Agents tell of crashes.
+    pub tells_crashes: bool,
 }
 
 impl Default for Guards {
@@ -62,6 +66,8 @@
             checks_life: true,
             says_born: true,
             fences_lives: true,
+            isolates: true,
+            tells_crashes: true,
         }
     }
 }
--- a/tests/besteffort_sim/world/links.rs
+++ b/tests/besteffort_sim/world/links.rs
@@ -63,6 +63,9 @@
         let agent = &mut self.agents[a];
         let mut line: FromAgent = agent.slots.line(&name, now);
         line.backend = Some(agent.slots.backend());
+        if !self.guards.tells_crashes {
+            line.crashes.clear();
+        }
         line.hello = hello;
         let link = self.links.get_mut(&(e, a)).expect("named above");
         line.taken = link.taken;
--- a/tests/support/besteffort.rs
+++ b/tests/support/besteffort.rs
@@ -209,6 +209,7 @@
         urgency_ms: now_ms,
         deadline_ms: now_ms + 60_000,
         patience_ms: 60_000,
+        suspicion: 0,
     }
 }
 
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -707,3 +707,28 @@
             && line["takes_work"] == takes_work
     });
 }
+
+/// Each worker that starts a task crashes under it, and is back under its id. The caller is told that the job
+/// has failed once two have, and so is one that submits it again at another entry.
+#[test]
+fn a_task_that_crashes_workers_is_given_up() {
+    block_on(async {
+        let system = System::open("crash", 2, 3).await;
+        let mut asked = job(1, 500);
+        asked["spec"] = json!("crash");
+        let crashes = || {
+            let all = system.workers.iter().flat_map(Worker::log);
+            all.filter(|ran| ran.how == "crashed").count()
+        };
+        let (status, answer) = system.submit(0, 1, &asked).await;
+        assert_eq!((status, &answer["state"]), (200, &json!("failed")));
+        assert_eq!(crashes(), 2);
+        system.entries[0].line(|line| {
+            line["message"] == "job is given up since backend servers crash under its task"
+        });
+        let (status, answer) = system.submit(1, 1, &asked).await;
+        assert_eq!((status, &answer["state"]), (200, &json!("failed")));
+        assert_eq!(crashes(), 2, "it isn't started again");
+        assert_eq!(system.submit(1, 2, &job(4, 20)).await.0, 200);
+    });
+}
