--- a/tests/besteffort_crashes.rs
+++ b/tests/besteffort_crashes.rs
@@ -145,7 +145,7 @@
         besteffort::start(old.clone(), START)
     ));
     let at = START + 200;
-    slots.listed(ms(at), ms(at), listing(at, &[old.clone()]));
+    slots.listed(ms(at), ms(at), listing(at, std::slice::from_ref(&old)));
     assert!(begins(&mut slots, at, besteffort::start(young.clone(), at)));
     let mut next = heartbeat("life");
     next.backend.life = ServerLife {
