--- /dev/null
+++ b/tests/besteffort_room.rs
@@ -0,0 +1,195 @@
+//! Room that shrinks, to nothing too, and grows while a backend server runs: what it says is heard, what waits
+//! goes elsewhere, and callers aren't told that a job never fits.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::Method;
+use lovagemill::besteffort::agent::{self, Agent};
+use lovagemill::decide::besteffort::lease::Bounds;
+use lovagemill::decide::besteffort::message::{EntryName, How, Room, Run, Start, Wants};
+use lovagemill::decide::besteffort::slots::{Checked, Listing, Slots, StartAnswer};
+use lovagemill::platform::announce;
+use lovagemill::wire::http::{self, Call};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use support::besteffort::{self, ends, entry, heartbeat, listed, Calls, Running, NEED};
+
+const START: u64 = 10_000;
+
+/// Heartbeats of the seeded series.
+const HEARTBEATS: u64 = 300;
+
+fn ms(at: u64) -> Duration {
+    Duration::from_millis(at)
+}
+
+async fn say(addr: SocketAddr, body: String) -> u16 {
+    let uri = format!("http://{addr}/-/instances/life/heartbeat");
+    let call = Call::new(Method::POST, uri, body);
+    let answer = http::open(1 << 20).call(call, support::HANG).await;
+    answer.expect("an answer").status.as_u16()
+}
+
+/// Work is started on a backend server that has no room left, or has said that it leaves: its word was
+/// taken for another writer's, since it named a room of nothing.
+#[test]
+fn whatever_a_backend_server_says_of_its_room_is_heard() {
+    support::block_on(async {
+        let calls = Calls::default();
+        let cfg = agent::Config {
+            name: "agent".into(),
+            life: 1,
+            failure_domain: "domain".into(),
+            bounds: Bounds::default(),
+        };
+        let agent: Agent = agent::spawn(cfg, calls.server());
+        let listing = calls.keep_listing("life", &Running::default());
+        let first = calls.keep_listing("", &Running::default());
+        let addr = announce::bind(SocketAddr::from(([127, 0, 0, 1], 0)), agent.clone()).await;
+        let addr = addr.expect("a free port");
+        let mut rng = SmallRng::seed_from_u64(5);
+        let sizes = [0, 1, 999, 4_000, 32_000];
+        for seq in 1..=HEARTBEATS {
+            let mut pick = || *sizes.choose(&mut rng).expect("there are some");
+            let (cpu, mem, gpu) = (pick(), pick(), pick() % 2);
+            let ready = rng.random_range(0..4) > 0;
+            let beat = json!({"service": "svc", "addr": "127.0.0.1:9", "zone": "z", "version": "v1",
+                "slots": 8, "state": if ready { "ready" } else { "draining" }, "cold_left_ms": 0,
+                "labels": ["a"], "clock_ms": 5, "seq": seq, "remaining_ms": 0,
+                "capacity": {"cpu": cpu, "mem_mb": mem, "gpu": gpu}});
+            assert_eq!(say(addr, beat.to_string()).await, 200, "{beat}");
+            if seq == 1 {
+                support::until("the life is known", || agent.life().id == "life").await;
+            }
+            let known = agent.backend();
+            let size = Room {
+                cpu,
+                memory_mb: mem,
+                accelerators: gpu,
+            };
+            assert_eq!((known.size, known.takes_work), (size, ready), "{beat}");
+        }
+        listing.abort();
+        first.abort();
+    });
+}
+
+fn listed_at(at: u64, running: &[Run]) -> Listing {
+    let running = running.iter().map(|run| (run.clone(), 10)).collect();
+    Listing {
+        clock_ms: at,
+        ..listed(running, Vec::new())
+    }
+}
+
+fn size(cpu: i64) -> Room {
+    Room {
+        cpu,
+        memory_mb: 1_000,
+        accelerators: 0,
+    }
+}
+
+/// An agent of a backend server with four places, and two entries that are heard.
+fn open() -> (Slots, [EntryName; 2]) {
+    let mut slots = Slots::open(Bounds::default());
+    let check = slots.announced(ms(START), heartbeat("life"));
+    let there = Checked::There(listed_at(START, &[]));
+    assert!(slots.checked(ms(START), ms(START), &check.expect("a new life"), there));
+    let names = [entry("a"), entry("b")];
+    for name in &names {
+        slots.entry_up(ms(START), name);
+        slots.heard(ms(START), name, START);
+    }
+    (slots, names)
+}
+
+fn resize(slots: &mut Slots, at: u64, number: u64, cpu: i64) {
+    let mut heartbeat = heartbeat("life");
+    heartbeat.number = number;
+    heartbeat.backend.size = size(cpu);
+    assert_eq!(slots.announced(ms(at), heartbeat), None);
+}
+
+fn begin(slots: &mut Slots, name: &EntryName, n: u32) -> Run {
+    let run = besteffort::run("job", n, 1);
+    let start = Start {
+        patience_ms: 60_000,
+        ..besteffort::start(run.clone(), START)
+    };
+    slots.start(ms(START), name, true, start);
+    slots.answered(ms(START), &run, StartAnswer::Accepted);
+    run
+}
+
+/// Work waits for room at a backend server that has shrunk, though others have some; and room that is
+/// gone is still lent.
+#[test]
+fn what_waits_goes_elsewhere_as_soon_as_room_shrinks() {
+    let (mut slots, [a, b]) = open();
+    let runs: Vec<Run> = (0..4).map(|n| begin(&mut slots, &a, n)).collect();
+    let waiting = begin(&mut slots, &a, 4);
+    assert_eq!(ends(&mut slots, &a, ms(START)), [], "it waits for a place");
+    resize(&mut slots, START + 10, 2, 2_000);
+    assert_eq!(
+        ends(&mut slots, &a, ms(START + 10)),
+        [(waiting, How::NotRun)]
+    );
+    assert_eq!(
+        slots.free().cpu,
+        -2_000,
+        "what runs counts until it has ended"
+    );
+
+    slots.listed(
+        ms(START + 20),
+        ms(START + 20),
+        listed_at(START + 20, &runs[..1]),
+    );
+    resize(&mut slots, START + 20, 3, 4_000);
+    let wants = Wants {
+        priority: 0,
+        urgency_ms: START,
+        need: NEED,
+        tasks: 2,
+    };
+    slots.waits(ms(START + 20), &b, START, Some(wants));
+    assert_eq!(slots.line(&b, ms(START + 20)).lent.cpu, 2_000);
+    resize(&mut slots, START + 21, 4, 0);
+    let line = slots.line(&a, ms(START + 21));
+    assert_eq!(
+        (line.free.cpu, line.lent.cpu),
+        (-1_000, 0),
+        "nothing is lent"
+    );
+}
+
+/// Room that has grown back stands idle.
+#[test]
+fn room_that_grows_is_used_at_once() {
+    let (mut slots, [a, _]) = open();
+    resize(&mut slots, START + 1, 2, 0);
+    let run = besteffort::run("job", 0, 1);
+    slots.start(
+        ms(START + 2),
+        &a,
+        true,
+        besteffort::start(run.clone(), START),
+    );
+    assert_eq!(
+        ends(&mut slots, &a, ms(START + 2)),
+        [(run, How::NotRun)],
+        "no room at all"
+    );
+    resize(&mut slots, START + 3, 3, 4_000);
+    assert_eq!(slots.line(&a, ms(START + 3)).free.cpu, 4_000);
+    let run = besteffort::run("job", 1, 1);
+    slots.start(ms(START + 3), &a, true, besteffort::start(run, START));
+    assert_eq!(slots.orders().len(), 1);
+}
