A backend server's room is taken as it says, nothing included

As room shrinks, what waits for it goes back at once and loans end. Entries move, forecast and refuse by backend servers that are large enough now, and tell a job that fitted before to come back (shrunk) instead of no_fit.

--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -201,9 +201,14 @@
         if self.is_settled(now) && !there.any(|v| v.backend.service == job.ask.service) {
             return Some((NotRun::NoWorker, RETRY_NO_WORKER));
         }
-        let mut suiting = self.suiting(job);
-        if self.is_settled(now) && !suiting.any(|v| v.backend.size.fits(&job.ask.need)) {
-            return Some((NotRun::NoFit, RETRY_NO_WORKER));
+        if self.is_settled(now) && self.holding(job).next().is_none() {
+            let held_before = self.suiting(job).any(|v| v.largest.fits(&job.ask.need));
+            let why = if held_before {
+                NotRun::Shrunk
+            } else {
+                NotRun::NoFit
+            };
+            return Some((why, RETRY_NO_WORKER));
         }
         let forecast = self.forecast(now, job);
         let wait = forecast.wait;
--- a/src/decide/besteffort/board/place.rs
+++ b/src/decide/besteffort/board/place.rs
@@ -44,6 +44,12 @@
         there.filter(|view| Board::suits(job, view))
     }
 
+    /// Those of them that are large enough for a task of the job, were they idle.
+    pub(super) fn holding<'a>(&'a self, job: &'a Job) -> impl Iterator<Item = &'a View> {
+        let suiting = self.suiting(job);
+        suiting.filter(|view| view.backend.size.fits(&job.ask.need))
+    }
+
     fn suits(job: &Job, view: &View) -> bool {
         let ask = &job.ask;
         let labelled = |label: &CompactString| view.backend.labels.contains(label);
@@ -54,7 +60,7 @@
     /// and the rate at which room has come free for this entry lately.
     pub(super) fn forecast(&self, now: time::Duration, job: &Job) -> Forecast {
         let (mut share, mut free) = (0.0, 0);
-        for view in self.suiting(job) {
+        for view in self.holding(job) {
             let rate = view.backend.size.cpu as f64 / self.learned.slowness(&view.agent).max(1.0);
             share += rate / f64::from(view.sharers);
             free += view.free().cpu.max(0) / job.ask.need.cpu.max(1);
@@ -217,7 +223,7 @@
     }
 
     fn has_other(&self, job: &Job) -> bool {
-        self.suiting(job).count() > 1
+        self.holding(job).count() > 1
     }
 
     fn has_share(&self, job: &Job, view: &View) -> bool {
--- a/src/decide/besteffort/board/rescue.rs
+++ b/src/decide/besteffort/board/rescue.rs
@@ -66,7 +66,7 @@
         } else {
             projected / slowness
         };
-        let others = self.suiting(job).filter(|v| v.agent != placed.agent);
+        let others = self.holding(job).filter(|v| v.agent != placed.agent);
         // Where all are full a task goes to the head of the queue, and room comes free every few
         // milliseconds.
         let best = others
--- a/src/decide/besteffort/job.rs
+++ b/src/decide/besteffort/job.rs
@@ -76,6 +76,8 @@
     NoWorker,
     /// No worker is large enough, or has the label that it needs.
     NoFit,
+    /// No worker is large enough now; some are when they haven't shrunk.
+    Shrunk,
     /// Its target can't be met behind what waits already.
     Overloaded,
     /// This entry is stopping and it couldn't end in time.
@@ -88,6 +90,7 @@
         match self {
             NotRun::NoWorker => "no_worker",
             NotRun::NoFit => "no_fit",
+            NotRun::Shrunk => "shrunk",
             NotRun::Overloaded => "overloaded",
             NotRun::Stopping => "stopping",
         }
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -103,6 +103,15 @@
             && need.accelerators <= self.accelerators
     }
 
+    /// The larger of each.
+    pub fn max(&self, other: &Room) -> Room {
+        Room {
+            cpu: self.cpu.max(other.cpu),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// What is left without `need`.
     pub fn minus(&self, need: &Room) -> Room {
         Room {
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -54,10 +54,13 @@
             percent_at: now,
             start,
         };
-        self.redeem(name, &held.start.need);
+        let need = held.start.need;
+        self.redeem(name, &need);
         self.waiting.insert(held.rank());
         self.held.insert(run.clone(), held);
-        if !fresh {
+        if !self.backend.size.fits(&need) {
+            self.end(now, &run, How::NotRun);
+        } else if !fresh {
             log::warn!(job = run.job.as_str(), task = run.task, run = run.number, entry = name.entry.as_str();
                 "start came too late to act on");
             self.end(now, &run, How::NotRun);
--- a/src/decide/besteffort/slots/lives.rs
+++ b/src/decide/besteffort/slots/lives.rs
@@ -14,7 +14,7 @@
 use std::time;
 
 use crate::decide::besteffort::lease::Lease;
-use crate::decide::besteffort::message::{Backend, Heartbeat, ServerLife};
+use crate::decide::besteffort::message::{Backend, Heartbeat, How, Run, ServerLife};
 use crate::decide::besteffort::slots::{
     Listing, PassedOver, Recipient, Slots, State, ANOTHER_LIFE,
 };
@@ -234,10 +234,36 @@
                 takes_work = backend.takes_work;
                 "backend server changed its mind about new work");
         }
+        let shrunk = !backend.size.fits(&self.backend.size);
+        if backend.size != self.backend.size {
+            log::info!(instance = backend.life.id.as_str(), cpu = backend.size.cpu, memory_mb = backend.size.memory_mb,
+                accelerators = backend.size.accelerators, used_cpu = self.used.cpu; "backend server's room changed");
+        }
         self.backend = backend;
+        if shrunk {
+            self.make_room(now);
+        }
         self.pump(now);
     }
 
+    /// Room has gone: what waits for it goes elsewhere, and none is kept for anybody.
+    fn make_room(&mut self, now: time::Duration) {
+        for entry in self.entries.values_mut() {
+            entry.loan = None;
+        }
+        let free = self.backend.size.minus(&self.used);
+        let waiting = self.waiting.iter().map(|(.., run)| run);
+        let fits = |run: &&Run| {
+            self.held
+                .get(*run)
+                .is_some_and(|held| free.fits(&held.start.need))
+        };
+        let crowded: Vec<Run> = waiting.filter(|run| !fits(run)).cloned().collect();
+        for run in crowded {
+            self.end(now, &run, How::NotRun);
+        }
+    }
+
     /// The backend server says that it leaves now. What it has may run on for a moment, so that its
     /// ends are still waited for. Where it doesn't say when its life began, this may be the late word of an
     /// earlier life under the same id: the next heartbeat of the living one sets that right.
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -24,6 +24,8 @@
     pub failure_domain: CompactString,
     /// The backend server beside it.
     pub backend: Backend,
+    /// The most room that this life of the backend server has had.
+    pub largest: Room,
     /// When it was heard last.
     pub heard: time::Duration,
     /// Runs of ours that it has.
@@ -56,6 +58,7 @@
             link: None,
             failure_domain: CompactString::default(),
             backend: Backend::default(),
+            largest: Room::default(),
             heard: now,
             runs: 0,
             sharers: 1,
@@ -90,7 +93,9 @@
         if let Some(backend) = &line.backend {
             if backend.life != self.backend.life {
                 self.recovered();
+                self.largest = Room::default();
             }
+            self.largest = self.largest.max(&backend.size);
             self.backend = backend.clone();
         }
     }
--- a/tests/besteffort_room.rs
+++ b/tests/besteffort_room.rs
@@ -8,8 +8,13 @@
 
 use hyper::Method;
 use lovagemill::besteffort::agent::{self, Agent};
+use lovagemill::decide::besteffort::board::{Admitted, Board};
+use lovagemill::decide::besteffort::job::{NotRun, Outcome, Submission};
 use lovagemill::decide::besteffort::lease::Bounds;
-use lovagemill::decide::besteffort::message::{EntryName, How, Room, Run, Start, Wants};
+use lovagemill::decide::besteffort::message::{
+    Backend, EntryName, FromAgent, Hello, How, Room, Run, Start, Wants,
+};
+use lovagemill::decide::besteffort::policy::Policy;
 use lovagemill::decide::besteffort::slots::{Checked, Listing, Slots, StartAnswer};
 use lovagemill::platform::announce;
 use lovagemill::wire::http::{self, Call};
@@ -193,3 +198,75 @@
     slots.start(ms(START + 3), &a, true, besteffort::start(run, START));
     assert_eq!(slots.orders().len(), 1);
 }
+
+fn ask(job: &str, cpu: i64) -> Submission {
+    Submission {
+        job: job.into(),
+        class: "class".into(),
+        service: "svc".into(),
+        input: "input".into(),
+        tasks: 1,
+        need: Room { cpu, ..NEED },
+        declared: ms(100),
+        requires: None,
+        near: None,
+        per_worker: None,
+        attempts: 2,
+        priority: 0,
+        stretch: 2.0,
+        slack: ms(400),
+        deadline: ms(START + 60_000),
+        first_run: 1,
+    }
+}
+
+fn say_room(board: &mut Board, at: u64, cpu: i64) {
+    let line = FromAgent {
+        free: size(cpu),
+        sharers: 1,
+        backend: Some(Backend {
+            size: size(cpu),
+            ..besteffort::backend("life")
+        }),
+        ..FromAgent::default()
+    };
+    board.heard(ms(at), 1, &line);
+}
+
+/// A caller is told that its job fits nowhere, though its backend servers have only shrunk for a while.
+#[test]
+fn a_job_that_fits_only_larger_backend_servers_is_told_to_come_back() {
+    let mut board = Board::open("domain", Bounds::default(), Policy::default());
+    board.tick(ms(START - 5_000));
+    let hello = Hello {
+        agent: "agent".into(),
+        life: 1,
+        failure_domain: "domain".into(),
+        runs: Vec::new(),
+        ended: Vec::new(),
+    };
+    board.agent_up(ms(START), 1, &hello);
+    say_room(&mut board, START, 4_000);
+    let refused = |board: &mut Board, at: u64, job: &str, cpu: i64| match board
+        .submit(ms(at), ask(job, cpu))
+    {
+        Admitted::Answered(Outcome::NotRun(why, _)) => Some(why),
+        _ => None,
+    };
+    assert_eq!(refused(&mut board, START, "small", 3_000), None);
+    assert_eq!(
+        refused(&mut board, START, "large", 5_000),
+        Some(NotRun::NoFit)
+    );
+    say_room(&mut board, START + 1_000, 0);
+    assert_eq!(
+        refused(&mut board, START + 1_000, "next", 3_000),
+        Some(NotRun::Shrunk)
+    );
+    assert_eq!(
+        refused(&mut board, START + 1_000, "larger", 5_000),
+        Some(NotRun::NoFit)
+    );
+    say_room(&mut board, START + 2_000, 4_000);
+    assert_eq!(refused(&mut board, START + 2_000, "again", 3_000), None);
+}
