A stopping entry turns no job away that it has time for

The time after which a stopping entry took nothing is gone; what may not have ended by its end is refused as before.

--- a/src/besteffort/entry/mod.rs
+++ b/src/besteffort/entry/mod.rs
@@ -153,9 +153,9 @@
         mutex::lock(&self.inner.board).open_jobs()
     }
 
-    /// From now on takes only jobs that end by then, and none after `last`.
-    pub fn stop_by(&self, last: time::Duration, by: time::Duration) {
-        mutex::lock(&self.inner.board).stop_by(last, by);
+    /// From now on takes only jobs that end by then.
+    pub fn stop_by(&self, by: time::Duration) {
+        mutex::lock(&self.inner.board).stop_by(by);
     }
 
     /// Gives up and answers whatever hasn't ended.
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -124,8 +124,8 @@
     woken_at: time::Duration,
     /// Until when nothing is started; see [`SETTLE`].
     settled_at: time::Duration,
-    /// After which no job is taken, and by when all must have ended; none unless it stops.
-    stopping: Option<(time::Duration, time::Duration)>,
+    /// By when all jobs must have ended; none unless it stops.
+    stopping: Option<time::Duration>,
 }
 
 /// What becomes of a submission.
@@ -213,10 +213,8 @@
         let forecast = self.forecast(now, job);
         let wait = forecast.wait;
         let end = now + wait + job.estimate;
-        if let Some((last, by)) = self.stopping {
-            if now > last || end + job.estimate > by {
-                return Some((NotRun::Stopping, RETRY_NO_WORKER));
-            }
+        if self.stopping.is_some_and(|by| end + job.estimate > by) {
+            return Some((NotRun::Stopping, RETRY_NO_WORKER));
         }
         let slack = job.latest.saturating_sub(now);
         let late = end > job.ask.deadline || wait > slack.mul_f64(self.policy.admission.admitted);
@@ -230,10 +228,9 @@
         None
     }
 
-    /// No new job after `last`, nor one that may not have ended `by` then: it takes twice its
-    /// estimate at times.
-    pub fn stop_by(&mut self, last: time::Duration, by: time::Duration) {
-        self.stopping = Some((last, by));
+    /// Takes no new job that may not have ended `by` then: it takes twice its estimate at times.
+    pub fn stop_by(&mut self, by: time::Duration) {
+        self.stopping = Some(by);
     }
 
     /// The caller has left; nothing of its job runs on.
