--- a/src/decide/besteffort/asking.rs
+++ b/src/decide/besteffort/asking.rs
@@ -11,8 +11,7 @@
 
 use crate::decide::besteffort::job::LinkNo;
 
-/// Agents that are asked at a time. With ten slots each and tasks of 200 ms some room comes free at
-/// one of six within 4 ms.
+/// Agents that are asked at a time.
 const AT_ONCE: usize = 6;
 
 /// Pause before the next ones are asked while work still waits; longer than an exchange between
--- a/src/decide/besteffort/draw.rs
+++ b/src/decide/besteffort/draw.rs
@@ -2,9 +2,7 @@
 //!
 //! Answers many entries at an ordinary load. What an entry knows of the room at an agent is up to a
 //! heartbeat old. Where each takes the agent that looks emptiest, all take the same one until its next
-//! word: with 35 entries and 160 agents at 0.8 of their room one start in five came back, and one in
-//! forty jobs of eight short tasks was late with nothing waiting. Drawn, the same load takes 1.06 starts
-//! a task and one such job in 250 is late (`tests/besteffort_load`).
+//! word: starts come back, and jobs are late with nothing waiting (`tests/besteffort_load`).
 
 use xxhash_rust::xxh3;
 
--- a/src/decide/besteffort/policy.rs
+++ b/src/decide/besteffort/policy.rs
@@ -26,8 +26,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Admission {
     /// Share of a job's slack that may be expected to pass in the queue. Under lasting overload the wait
-    /// settles at this bound. At half of it callers are turned away whose work had time; at 1.2 times what is
-    /// served comes late where all workers are full.
+    /// settles at this bound.
     pub admitted: f64,
     /// Least part of an equal share of the workers that an entry counts on before its own starts tell.
     pub least_share: f64,
@@ -38,13 +37,12 @@
 /// Where a task goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
-    /// How many times as long a task runs away from its data, where the settings don't say; they say 1.5 to 3.
+    /// How many times as long a task runs away from its data, where the settings don't say.
     pub far: f64,
     /// What an exchange with another failure domain takes more.
     pub other_domain: time::Duration,
-    /// By which share of the run time a task may end later at an agent that counts as alike to the best.
-    /// Small against the difference between a sound and a slow worker (2), and larger than what chance
-    /// does to the learned speed of agents (0.1).
+    /// By which share of the run time a task may end later at an agent that counts as alike to the best: less
+    /// than between a sound and a slow worker, and more than chance does to the learned speed of agents.
     pub alike: f64,
     /// Slowness from which an agent gets work only if the target can still be met there.
     pub slow: f64,
@@ -65,11 +63,10 @@
 pub struct Rescue {
     /// What a move costs: the stop, and two exchanges.
     pub cost: time::Duration,
-    /// How many times sooner the end elsewhere has to be. Estimates scatter by 0.4, and a move throws the
-    /// work done so far away.
+    /// How many times sooner the end elsewhere has to be: estimates scatter, and a move throws the work done so
+    /// far away.
     pub gain: f64,
-    /// Shortest time without progress that counts as standing still. Listings come at least every 200 ms,
-    /// and lines every 150 ms.
+    /// Shortest time without progress that counts as standing still: a listing and a line may be on their way.
     pub standstill: time::Duration,
     /// Hundredths that a sound worker would have done in that time, at least.
     pub expected: f64,
@@ -85,8 +82,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bar {
     /// Weight of past failures, each counted as 1, after which an agent is barred and then gets one task
-    /// at a time. A second failure within two tasks of the first reaches it; tasks that fail through
-    /// their own fault (2 in 1,000) never do.
+    /// at a time. A second failure within two tasks of the first reaches it.
     pub failing: f64,
     /// What a task that was done leaves of that weight.
     pub forgives: f64,
@@ -105,8 +101,7 @@
 /// How run times are weighed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Learning {
-    /// Weight of the declared time against the class's mean, both as logarithms. Declared times and work
-    /// scatter about equally (by 0.4 each, as logarithms), so each tells half.
+    /// Weight of the declared time against the class's mean, both as logarithms.
     pub declared: f64,
     /// Weight of a new run time in the mean of a class.
     pub class_gain: f64,
@@ -114,12 +109,11 @@
     pub agent_gain: f64,
     /// Bounds of an agent's slowness, so that one strange run can't bar an agent or draw all work.
     pub slowness: (f64, f64),
-    /// What a look at the agents leaves of a difference from their median, fifty times a second: half of
-    /// it after three seconds in which nothing ran there. A worker that was slow is tried again.
+    /// What a look at the agents leaves of a difference from their median, so that a worker that was slow is
+    /// tried again.
     pub keep: f64,
 }
 
-/// The values that were measured to be best; see `docs/design/decisions.md`.
 impl Default for Policy {
     fn default() -> Policy {
         Policy {
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -105,9 +105,8 @@
         line
     }
 
-    /// Entries that compete for the room: this one, and the others with work waiting. Counted over all
-    /// entries that are there, an entry whose callers came in a bunch saw a third of what it would get
-    /// while the others had nothing waiting, and refused work that had time.
+    /// Entries that compete for the room: this one, and the others with work waiting. Those with nothing
+    /// waiting leave their part to the others.
     fn sharers(&self, now: time::Duration, name: &EntryName) -> u32 {
         let others = self.entries.iter().filter(|(other, _)| *other != name);
         let waiting = others.filter(|(_, e)| now < e.alive_until && e.wants.is_some());
--- a/src/decide/besteffort/slots/lend.rs
+++ b/src/decide/besteffort/slots/lend.rs
@@ -1,9 +1,9 @@
 //! Which entry gets the room that comes free.
 //!
-//! Answers bursts over the workers' room. Where every entry with work waiting was told of each slot that
-//! came free, all sent to it and all but one start came back: 3.5 starts a task with twelve entries, and
-//! thin entries stood still under the lines. Room is lent to one entry at a time, the one whose work is
-//! most urgent, for as long as its start may take to arrive.
+//! Answers bursts over the workers' room. Were every entry with work waiting told of each slot that comes
+//! free, all would send to it, all but one start would come back, and thin entries would stand still under
+//! the lines. Room is lent to one entry at a time, the one whose work is most urgent, for as long as its
+//! start may take to arrive.
 
 use std::time;
 
