Probation lasts 100 ms, and a crash in it proves the cause

A cleared suspect stays on probation now, and a crash on probation gives a task up whatever else it was blamed for. An answer to a start that comes after the first sign of the crash makes a suspect too; it had been passed over.

--- a/src/decide/besteffort/crashes.rs
+++ b/src/decide/besteffort/crashes.rs
@@ -1,10 +1,10 @@
 //! Which tasks an entry believes to crash backend servers.
 //!
 //! A crash takes down all that runs beside its cause, so that each of those tasks becomes a suspect. Suspicion
-//! is counted in points: a task that had just begun gets [`LIKELY`], any other [`POSSIBLE`]. At [`CAUSE`] it
-//! is taken for the cause and given up, which clears what was beside it: after two crashes for one that
-//! crashes whatever starts it, after four for one that takes a while. Agents tell every entry, so that the
-//! count outlives an entry and holds for a job that is submitted again elsewhere.
+//! is counted in points: a task that had just begun gets [`LIKELY`], any other [`POSSIBLE`]. A suspect's next run
+//! is on probation, and a crash in that time proves it the cause. So does [`CAUSE`], after two crashes, or four
+//! for a task that takes a while. It is given up then, which clears what was beside it. Agents tell every entry,
+//! so that the count outlives an entry and holds for a job that is submitted again elsewhere.
 //! `docs/design/crashes.md` has the argument.
 
 use std::collections::{HashMap, HashSet};
@@ -24,7 +24,7 @@
 
 /// How long after its start a task is the likely cause of a crash. A suspect that has run for so long
 /// without one is let run beside others.
-pub const PROBATION: time::Duration = time::Duration::from_millis(150);
+pub const PROBATION: time::Duration = time::Duration::from_millis(100);
 
 /// How long a crash is remembered: longer than callers submit one job again.
 pub const REMEMBERED: time::Duration = time::Duration::from_secs(15);
@@ -45,6 +45,8 @@
     id: CrashId,
     at: time::Duration,
     crash: Crash,
+    /// Tasks that were suspected of it before its cause was known.
+    cleared: Vec<TaskName>,
 }
 
 /// The crashes that agents have told of.
@@ -52,6 +54,9 @@
 pub struct Crashes {
     known: Vec<Known>,
     points: HashMap<JobId, HashMap<id::TaskIndex, u32>>,
+    /// Tasks that have been suspected. They run on probation even if they were cleared: two causes may have been
+    /// on one backend server.
+    watched: HashSet<TaskName>,
 }
 
 impl Crashes {
@@ -67,19 +72,28 @@
                 id,
                 at: now,
                 crash: crash.clone(),
+                cleared: Vec::new(),
             });
         }
         self.count();
         self.clear_innocent();
     }
 
-    /// Points of a task.
+    /// Points of a task, or those of a suspect where it was one.
     pub fn suspicion(&self, job: &str, task: id::TaskIndex) -> u32 {
-        let tasks = self.points.get(job);
-        tasks
-            .and_then(|tasks| tasks.get(&task))
-            .copied()
-            .unwrap_or(0)
+        if self.known.is_empty() {
+            return 0;
+        }
+        let job = job.into();
+        let name = TaskName { job, task };
+        let least = u32::from(self.watched.contains(&name)) * LIKELY;
+        self.points_of(&name).max(least)
+    }
+
+    fn points_of(&self, name: &TaskName) -> u32 {
+        let points = self.points.get(&name.job);
+        let points = points.and_then(|tasks| tasks.get(&name.task));
+        points.copied().unwrap_or(0)
     }
 
     /// The first task of a job that has to be given up.
@@ -109,26 +123,32 @@
 
     fn count(&mut self) {
         self.points.clear();
+        self.watched.clear();
         for known in &self.known {
-            let likely = known.crash.likely.iter().map(|name| (name, LIKELY));
-            let possible = known.crash.possible.iter().map(|name| (name, POSSIBLE));
-            for (name, points) in likely.chain(possible) {
+            let crash = &known.crash;
+            let proven = crash.proven.iter().map(|name| (name, CAUSE));
+            let likely = crash.likely.iter().map(|name| (name, LIKELY));
+            let possible = crash.possible.iter().map(|name| (name, POSSIBLE));
+            for (name, points) in proven.chain(likely).chain(possible) {
                 let tasks = self.points.entry(name.job.clone()).or_default();
                 *tasks.entry(name.task).or_default() += points;
             }
+            self.watched.extend(known.cleared.iter().cloned());
         }
     }
 
     /// A crash whose cause is known tells nothing against what ran beside it.
     fn clear_innocent(&mut self) {
         let all = self.known.iter().flat_map(|known| known.crash.suspects());
-        let causes = all.filter(|name| self.suspicion(&name.job, name.task) >= CAUSE);
+        let causes = all.filter(|name| self.points_of(name) >= CAUSE);
         let causes: HashSet<TaskName> = causes.cloned().collect();
         if causes.is_empty() {
             return;
         }
-        for Known { crash, .. } in &mut self.known {
+        for Known { crash, cleared, .. } in &mut self.known {
             if crash.suspects().any(|name| causes.contains(name)) {
+                let innocent = |name: &&TaskName| !causes.contains(*name);
+                cleared.extend(crash.likely.iter().filter(innocent).cloned());
                 crash.likely.retain(|name| causes.contains(name));
                 crash.possible.retain(|name| causes.contains(name));
             }
--- a/src/decide/besteffort/message.rs
+++ b/src/decide/besteffort/message.rs
@@ -35,7 +35,8 @@
 impl Crash {
     /// All tasks that may have caused it.
     pub fn suspects(&self) -> impl Iterator<Item = &TaskName> {
-        self.likely.iter().chain(&self.possible)
+        let known = self.proven.iter().chain(&self.likely);
+        known.chain(&self.possible)
     }
 }
 
@@ -65,10 +66,13 @@
 }
 
 /// A backend server that has crashed, and what may have caused it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
     /// Which of the backend servers beside the agent, counted over the agent's life.
     pub server: u64,
+    /// Suspects that were on probation there, when nothing else began; then no others are named.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub proven: Vec<TaskName>,
     /// Tasks that had just begun on it, or may have.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub likely: Vec<TaskName>,
--- a/src/decide/besteffort/slots/crashes.rs
+++ b/src/decide/besteffort/slots/crashes.rs
@@ -82,7 +82,7 @@
     pub(super) fn life_answered(&mut self, now: time::Duration) {
         self.crashes.lost.clear();
         if std::mem::take(&mut self.crashes.refused) {
-            self.blame(now, Vec::new(), Vec::new());
+            self.blame(now, Crash::default());
         }
     }
 
@@ -92,8 +92,8 @@
         self.crashes.lost.extend(lost);
     }
 
-    /// A start had no answer. Where the backend server has crashed meanwhile, it may have begun.
-    pub(super) fn unanswered(&mut self, now: time::Duration) {
+    /// A start has begun, or may have. Where the backend server has crashed meanwhile, it was there.
+    pub(super) fn may_have_begun(&mut self, now: time::Duration) {
         if self.crashes.refused {
             self.crashed(now);
         }
@@ -125,26 +125,31 @@
         let all: Vec<WithServer> = held.chain(self.crashes.lost.iter().cloned()).collect();
         let on_probation = |task: &WithServer| task.suspect && task.young;
         let found = all.iter().any(on_probation);
-        let blamed = all.into_iter().filter(|task| !found || on_probation(task));
-        let (likely, possible): (Vec<_>, Vec<_>) = blamed.partition(|task| task.young);
-        let names = |tasks: Vec<WithServer>| tasks.into_iter().map(|task| task.name).collect();
-        let (likely, possible): (Vec<TaskName>, Vec<TaskName>) = (names(likely), names(possible));
-        let Some(first) = likely.first().or(possible.first()) else {
+        let mut crash = Crash::default();
+        for task in all {
+            if found && on_probation(&task) {
+                crash.proven.push(task.name);
+            } else if !found && task.young {
+                crash.likely.push(task.name);
+            } else if !found {
+                crash.possible.push(task.name);
+            }
+        }
+        let Some(first) = crash.suspects().next() else {
             return;
         };
         log::warn!(instance = self.backend.life.id.as_str(), born_ms = self.backend.life.born_ms,
-            likely = likely.len(), possible = possible.len(), first = first.to_string().as_str();
-            "backend server has crashed");
+            proven = crash.proven.len(), likely = crash.likely.len(), possible = crash.possible.len(),
+            first = first.to_string().as_str(); "backend server has crashed");
         self.counts.crashes += 1;
-        self.blame(now, likely, possible);
+        self.blame(now, crash);
     }
 
     /// Tells all entries whom the crash of the known life is blamed on.
-    fn blame(&mut self, now: time::Duration, likely: Vec<TaskName>, possible: Vec<TaskName>) {
+    fn blame(&mut self, now: time::Duration, crash: Crash) {
         let crash = Crash {
             server: self.counts.lives,
-            likely,
-            possible,
+            ..crash
         };
         let known = &mut self.crashes.known;
         known.retain(|(_, other)| other.server != crash.server);
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -100,6 +100,7 @@
                 if held.unwanted.is_some() {
                     self.send_stop(now, run);
                 }
+                self.may_have_begun(now);
             }
             StartAnswer::Refused => self.end(now, run, How::NotRun),
             StartAnswer::Unwell => self.end(now, run, How::Rejected),
@@ -109,7 +110,7 @@
                 log::warn!(job = run.job.as_str(), task = run.task, run = run.number;
                     "start had no answer");
                 self.send_stop(now, run);
-                self.unanswered(now);
+                self.may_have_begun(now);
             }
         }
         self.pump(now);
--- a/tests/besteffort_crashes.rs
+++ b/tests/besteffort_crashes.rs
@@ -183,6 +183,24 @@
     assert_eq!(told(&mut slots, START + 50)[0].likely, [name(&task)]);
 }
 
+/// The answer to a start arrives after the first sign of the crash that it caused, and nobody suspects it.
+#[test]
+fn a_start_that_is_answered_after_the_crash_is_suspected() {
+    let mut slots = open();
+    let task = run("job", 0, 1);
+    slots.heard(ms(START), &entry("e"), START);
+    slots.start(
+        ms(START),
+        &entry("e"),
+        true,
+        besteffort::start(task.clone(), START),
+    );
+    let to = slots.recipient();
+    slots.refused(ms(START + 3), &to);
+    slots.answered(ms(START + 4), &task, StartAnswer::Accepted);
+    assert_eq!(told(&mut slots, START + 4)[0].likely, [name(&task)]);
+}
+
 /// A crash on a suspect's probation is blamed on what ran beside it. Nothing begins shortly before it nor
 /// while it is on probation; then others do.
 #[test]
@@ -235,9 +253,11 @@
     crashed.heard(ms(at), &entry("e"), at);
     crashed.refused(ms(at), &to);
     let crash = &told(&mut crashed, at)[0];
+    assert_eq!(crash.proven, [name(&suspected)]);
     assert_eq!(
-        (&crash.likely[..], &crash.possible[..]),
-        (&[name(&suspected)][..], &[][..])
+        crash.suspects().count(),
+        1,
+        "what ran beside it isn't blamed"
     );
 }
 
@@ -267,6 +287,7 @@
         server,
         likely: names(likely),
         possible: names(possible),
+        ..Crash::default()
     }
 }
 
@@ -291,12 +312,32 @@
     assert_eq!(crashes.agents("job", 0), ["a", "b"]);
     assert_eq!(
         (crashes.suspicion("job", 1), crashes.suspicion("job", 2)),
-        (0, 0)
+        (LIKELY, 0),
+        "the likely one stays on probation"
     );
     crashes.forget(ms(60_000));
     assert_eq!(crashes.cause_in("job"), None);
 }
 
+/// Two causes on one backend server: the one that was cleared for the other's sake crashes a third and a
+/// fourth. It is still let run on probation only, and a crash then proves it the cause.
+#[test]
+fn a_cause_that_was_cleared_is_given_up_after_its_second_crash() {
+    let (first, second) = (name(&run("job", 0, 1)), name(&run("other", 0, 1)));
+    let mut crashes = Crashes::default();
+    crashes.hear(ms(0), "a", 1, &crash(1, &[&first, &second], &[]));
+    let proven = |name: &TaskName| Crash {
+        server: 1,
+        proven: vec![name.clone()],
+        ..Crash::default()
+    };
+    crashes.hear(ms(1), "b", 1, &proven(&first));
+    assert_eq!(crashes.cause_in("other"), None);
+    assert_eq!(crashes.suspicion("other", 0), LIKELY);
+    crashes.hear(ms(2), "c", 1, &proven(&second));
+    assert_eq!(crashes.cause_in("other"), Some(0));
+}
+
 /// A crash that was taken back is held against a task for good.
 #[test]
 fn a_crash_that_is_taken_back_counts_no_more() {
