--- a/src/decide/besteffort/slots/crashes.rs
+++ b/src/decide/besteffort/slots/crashes.rs
@@ -138,13 +138,22 @@
         let Some(first) = crash.suspects().next() else {
             return;
         };
-        log::warn!(instance = self.backend.life.id.as_str(), born_ms = self.backend.life.born_ms,
-            proven = crash.proven.len(), likely = crash.likely.len(), possible = crash.possible.len(),
-            first = first.to_string().as_str(); "backend server has crashed");
-        self.counts.crashes += 1;
+        if !self.is_blamed() {
+            self.counts.crashes += 1;
+            log::warn!(instance = self.backend.life.id.as_str(), born_ms = self.backend.life.born_ms,
+                proven = crash.proven.len(), likely = crash.likely.len(), possible = crash.possible.len(),
+                first = first.to_string().as_str(); "backend server has crashed");
+        }
         self.blame(now, crash);
     }
 
+    /// Whether the crash of the known life was told already; what is found later only adds to it.
+    fn is_blamed(&self) -> bool {
+        let mut known = self.crashes.known.iter().map(|(_, crash)| crash);
+        let of_this_life = known.find(|crash| crash.server == self.counts.lives);
+        of_this_life.is_some_and(|crash| crash.suspects().next().is_some())
+    }
+
     /// Tells all entries whom the crash of the known life is blamed on.
     fn blame(&mut self, now: time::Duration, crash: Crash) {
         let crash = Crash {
@@ -202,6 +211,9 @@
 
     /// Suspects that wait while another one waits or is on probation. They are turned away, to go elsewhere.
     pub(super) fn crowded_suspects(&self, now: time::Duration) -> Vec<Run> {
+        if self.isolation == Isolation::Together {
+            return Vec::new();
+        }
         let alone = self.isolation == Isolation::Alone;
         let suspects = || {
             self.held
@@ -216,11 +228,6 @@
             .filter_map(|(.., run)| self.held.get(run));
         let waiting = waiting.filter(|held| is_suspect(held.start.suspicion));
         let crowded = waiting.skip(usize::from(!taken));
-        match self.isolation {
-            Isolation::Together => Vec::new(),
-            Isolation::Probation | Isolation::Alone => {
-                crowded.map(|held| held.start.run.clone()).collect()
-            }
-        }
+        crowded.map(|held| held.start.run.clone()).collect()
     }
 }
--- a/tests/besteffort_crashes.rs
+++ b/tests/besteffort_crashes.rs
@@ -181,6 +181,7 @@
     assert_eq!(told(&mut slots, START + 20), [], "it may never have begun");
     slots.answered(ms(START + 50), &task, StartAnswer::Unknown);
     assert_eq!(told(&mut slots, START + 50)[0].likely, [name(&task)]);
+    assert_eq!(slots.counts.crashes, 1);
 }
 
 /// The answer to a start arrives after the first sign of the crash that it caused, and nobody suspects it.
