Log and count starts that are sent a second time

Cause: an agent sends a start again when 20 ms have brought no answer, and neither a log line nor a metric said so. When tasks ran twice in each_task_runs_once_without_faults, the logs had one start each, so that two hypotheses couldn't be told apart: (a) the runs lapsed with a lease and the entry started the tasks anew, (b) one start was carried out twice.

A failing test of the two programs keeps their logs, and the stand-in workers' own records in the same form, as files for `lovagemill explain`.

--- a/src/besteffort/agent/mod.rs
+++ b/src/besteffort/agent/mod.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time;
 
@@ -64,6 +64,8 @@
     pub stop: Box<dyn Fn(Recipient, Run) -> Answer<bool> + Send + Sync>,
     /// Lists the runs that the backend server has.
     pub list: Box<dyn Fn(ListCall) -> Answer<Result<Listing, ListingError>> + Send + Sync>,
+    /// The number of starts that were sent a second time, because the first had no answer yet.
+    pub starts_resent: Arc<AtomicU64>,
 }
 
 /// The content of a request for a listing.
@@ -110,6 +112,8 @@
     pub takes_work: bool,
     /// What the agent has counted since its start.
     pub counts: Counts,
+    /// The number of starts that were sent to the backend server a second time.
+    pub starts_resent: u64,
 }
 
 struct Inner {
@@ -263,6 +267,7 @@
             last_answer_age: slots.last_answer_age(now),
             takes_work: slots.advertised_backend().takes_work,
             counts: slots.counts.clone(),
+            starts_resent: self.inner.server.starts_resent.load(Ordering::Relaxed),
         }
     }
 }
--- a/tests/support/besteffort.rs
+++ b/tests/support/besteffort.rs
@@ -139,6 +139,7 @@
                 list.push(Call::List(call, tx));
                 Box::pin(async move { rx.await.unwrap_or(Err(ListingError::NoAnswer)) })
             }),
+            starts_resent: Arc::default(),
         }
     }
 }
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -55,6 +55,15 @@
     client: Client,
 }
 
+impl Drop for System {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let lines = self.workers.iter().flat_map(Worker::log);
+            processes::keep_log("workers", &lines.collect::<Vec<_>>());
+        }
+    }
+}
+
 impl System {
     /// Starts all processes; returns once every entry knows that every worker takes work.
     async fn open(test: &str, entries: usize, workers: usize) -> System {
--- a/tests/users_platform/processes.rs
+++ b/tests/users_platform/processes.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc;
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use lovagemill::mutex;
 use serde_json::{json, Value};
 
 use crate::standins::any_port;
@@ -21,6 +22,9 @@
 /// A process that is killed when the test ends, passed or failed.
 pub struct Process {
     child: Child,
+    name: String,
+    /// All log lines so far, as the process wrote them.
+    log: Arc<Mutex<Vec<String>>>,
     /// The log line with the bound addresses.
     listens: Value,
     /// The log lines that no test has taken yet.
@@ -31,6 +35,19 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            keep_log(&self.name, &mutex::lock(&self.log));
+        }
+    }
+}
+
+/// Keeps log lines of a failed test as a file, for `lovagemill explain`.
+pub fn keep_log(name: &str, lines: &[String]) {
+    let file = format!("{}-{name}.log", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
+    match std::fs::write(&path, lines.join("\n") + "\n") {
+        Ok(()) => eprintln!("log of {name}: {}", path.display()),
+        Err(e) => eprintln!("log of {name} is lost: {e}"),
     }
 }
 
@@ -55,8 +72,11 @@
     let mut child = command.spawn().expect("it starts");
     let stdout = child.stdout.take().expect("stdout is piped");
     let (tx, lines) = mpsc::channel();
+    let log: Arc<Mutex<Vec<String>>> = Arc::default();
+    let written = log.clone();
     thread::spawn(move || {
         for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            mutex::lock(&written).push(line.clone());
             let line: Value = serde_json::from_str(&line).expect("logs are JSON lines");
             let is_last = !reads_log
                 && line["message"]
@@ -75,6 +95,8 @@
     });
     let mut process = Process {
         child,
+        name: name.to_owned(),
+        log,
         listens: Value::Null,
         lines,
     };
--- a/tests/users_platform/standins.rs
+++ b/tests/users_platform/standins.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request};
+use lovagemill::clock;
 use lovagemill::mutex;
 use lovagemill::platform::http::{self, ConnectionLimits, Reply};
 use lovagemill::wire::http::{Call, Client};
@@ -283,6 +284,8 @@
 #[derive(Clone, Debug)]
 pub struct RunRecord {
     pub task: String,
+    /// The run's number.
+    pub number: u64,
     pub began: Instant,
     pub ended: Option<Instant>,
     /// How the run ended; empty while it runs.
@@ -424,6 +427,22 @@
         mutex::lock(&self.state).runs.clone()
     }
 
+    /// Returns the begin and the end of every run so far as log lines, in the form of the programs' logs.
+    pub fn log(&self) -> Vec<String> {
+        let now = clock::since_epoch();
+        let line = |at: Instant, message: &str, run: &RunRecord| {
+            let (job, task) = run.task.split_once(".0.0.").unwrap_or((&run.task, ""));
+            json!({"time_ms": (now - at.elapsed()).as_millis() as u64, "level": "INFO", "process": self.id,
+                "message": message, "job": job, "task": task, "run": run.number, "outcome": run.outcome})
+            .to_string()
+        };
+        let lines = self.runs().into_iter().flat_map(|run| {
+            let ended = run.ended.map(|at| line(at, "run ended", &run));
+            [Some(line(run.began, "run began", &run)), ended]
+        });
+        lines.flatten().collect()
+    }
+
     fn clock_ms(&self) -> u64 {
         mutex::lock(&self.state).clock_ms()
     }
@@ -499,6 +518,7 @@
         let mut state = mutex::lock(&self.state);
         state.runs.push(RunRecord {
             task: key.0.clone(),
+            number: key.1,
             began: Instant::now(),
             ended: None,
             outcome: "",
