Make the worker stand-in carry out each start once

What callers saw: nothing; every job was answered once, as complete. The test's workers ran 1 to 24 of 200 tasks twice, in each_task_runs_once_without_faults beside other processes.

Cause: the stand-in, not the product. An agent sends a start again after 20 ms without an answer, under the same number, which is safe by the platform's protocol: a worker answers 200 if the run is already there, and refuses a run that isn't higher than one stopped or ended. The stand-in kept no such record and began the run anew. It also forgot a stop of a run that wasn't there yet, had no limit to its room and granted leases of any length.

Change: the stand-in refuses and recognises starts as the protocol says, with tests of its own. a_start_that_is_sent_twice_runs_its_task_once delays the answers to starts, so that each is sent twice.

--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -1,9 +1,10 @@
 //! The two programs of the users' platform as processes, with stand-ins for the platform's store and workers.
 
 mod processes;
+mod standin_contract;
 mod standins;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hyper::Method;
@@ -135,6 +136,14 @@
         )
     }
 
+    /// Reads the metrics page of a process.
+    async fn metrics(&self, process: &Process) -> String {
+        let uri = format!("http://{}/metrics", process.addr("metrics"));
+        let call = Call::new(Method::GET, uri, "");
+        let answer = self.client.call(call, CALL_TIMEOUT).await;
+        String::from_utf8_lossy(&answer.expect("an answer").body).into_owned()
+    }
+
     /// Returns how often each task ran, and whether two runs of a task overlapped.
     fn run_counts(&self) -> (BTreeMap<String, usize>, bool) {
         let all: Vec<_> = self.workers.iter().flat_map(Worker::runs).collect();
@@ -152,6 +161,13 @@
     }
 }
 
+/// Returns the value of a counter without labels on a metrics page.
+fn counter(page: &str, name: &str) -> u64 {
+    let value = page.lines().find_map(|line| line.strip_prefix(name));
+    let value = value.and_then(|value| value.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("{name} in:\n{page}"))
+}
+
 /// Without faults every job is answered as complete, and each of its tasks runs once.
 #[test]
 fn each_task_runs_once_without_faults() {
@@ -175,6 +191,37 @@
     });
 }
 
+/// Guards against a task that runs twice because its start is sent twice: the backend server carries the first one out
+/// at once, and its answer is late.
+#[test]
+fn a_start_that_is_sent_twice_runs_its_task_once() {
+    block_on(async {
+        let system = System::open("resent", 1, 2).await;
+        for worker in &system.workers {
+            worker.delay_start_answers(Duration::from_millis(30));
+        }
+        for (id, ms) in [(1, 5), (2, 100)] {
+            let (status, body) = system.submit(0, id, &job(4, ms)).await;
+            assert_eq!((status, &body["state"]), (200, &json!("complete")));
+        }
+        let runs: Vec<_> = system.workers.iter().flat_map(Worker::runs).collect();
+        let started: BTreeSet<_> = runs.iter().map(|run| (&run.task, run.number)).collect();
+        assert_eq!(started.len(), runs.len(), "{runs:?}");
+        let is_resent =
+            |line: &Value| line["message"] == "start has no answer yet; sending it again";
+        let mut resent = 0;
+        for agent in &system.agents {
+            let page = system.metrics(agent).await;
+            let by_agent = counter(&page, "lovagemill_starts_resent_total");
+            for _ in 0..by_agent {
+                agent.wait_for_line(is_resent);
+            }
+            resent += by_agent;
+        }
+        assert!(resent > 0, "no start was sent twice");
+    });
+}
+
 /// Waits for all futures at once; returns their results in the order in which they complete.
 async fn join_all<T>(all: impl Iterator<Item = impl std::future::Future<Output = T>>) -> Vec<T> {
     let mut done = Vec::new();
@@ -458,14 +505,7 @@
         let system = System::open("metrics", 1, 1).await;
         assert_eq!(system.submit(0, 1, &job(2, 5)).await.0, 200);
         assert_eq!(system.submit(0, 2, &job(100_000, 5)).await.0, 400);
-        let page = |process: &Process| {
-            let uri = format!("http://{}/metrics", process.addr("metrics"));
-            let call = system
-                .client
-                .call(Call::new(Method::GET, uri, ""), CALL_TIMEOUT);
-            async move { String::from_utf8_lossy(&call.await.expect("an answer").body).into_owned() }
-        };
-        let entry = page(&system.entries[0]).await;
+        let entry = system.metrics(&system.entries[0]).await;
         for line in [
             "lovagemill_jobs_total{class=\"r-trips-\",outcome=\"complete\"} 1",
             "lovagemill_starts_total 2",
@@ -485,7 +525,7 @@
         ] {
             assert!(entry.contains(line), "{line} in:\n{entry}");
         }
-        let agent = page(&system.agents[0]).await;
+        let agent = system.metrics(&system.agents[0]).await;
         for line in [
             "lovagemill_free_cpu 8000",
             "lovagemill_takes_work 1",
--- a/tests/users_platform/standins.rs
+++ b/tests/users_platform/standins.rs
@@ -292,11 +292,22 @@
     pub outcome: &'static str,
 }
 
+/// Number of runs that a worker has room for.
+pub const PLACES: usize = 8;
+
+/// The longest lease that a worker grants.
+const MAX_LEASE: Duration = Duration::from_millis(1_000);
+
+/// A run, by its task and its number.
+type RunKey = (String, u64);
+
 /// The state of a worker.
 #[derive(Default)]
 struct WorkerState {
-    /// Start and duration of each running task, by task and run.
-    running: BTreeMap<(String, u64), (Instant, Duration)>,
+    /// Start and duration of each running task.
+    running: BTreeMap<RunKey, (Instant, Duration)>,
+    /// The highest number of a run of each task that was stopped or has ended. No run up to it ever starts.
+    closed: BTreeMap<String, u64>,
     /// Number, task, run and outcome of each ended run that isn't acknowledged.
     finished: Vec<(u64, String, u64, &'static str)>,
     /// The number of the last ended run.
@@ -341,14 +352,24 @@
     pub addr: SocketAddr,
     pub id: String,
     state: Arc<Mutex<WorkerState>>,
+    /// How long the answer to a start is delayed, in milliseconds.
+    start_delay_ms: Arc<AtomicU64>,
+    max_lease: Duration,
 }
 
 impl Worker {
     pub async fn open(id: &str) -> Worker {
+        Worker::open_with_lease(id, MAX_LEASE).await
+    }
+
+    /// Opens a worker that grants leases of up to `max_lease`.
+    pub async fn open_with_lease(id: &str, max_lease: Duration) -> Worker {
         let worker = Worker {
             addr: any_port(),
             id: id.into(),
             state: Arc::default(),
+            start_delay_ms: Arc::default(),
+            max_lease,
         };
         let answering = worker.clone();
         let answer = move |req| {
@@ -396,6 +417,12 @@
         });
     }
 
+    /// Delays the answers to starts from now on. The starts themselves are carried out at once.
+    pub fn delay_start_answers(&self, delay: Duration) {
+        self.start_delay_ms
+            .store(delay.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Announces from now on that the worker takes no new work.
     pub fn leave(&self) {
         mutex::lock(&self.state).incarnation.leaving = true;
@@ -456,7 +483,7 @@
             .running
             .iter()
             .filter(|(_, (began, run_time))| lapsed || began.elapsed() >= *run_time);
-        let due: Vec<(String, u64)> = due.map(|(key, _)| key.clone()).collect();
+        let due: Vec<RunKey> = due.map(|(key, _)| key.clone()).collect();
         for key in due {
             state.end(&key, if lapsed { "lapsed" } else { "done" });
         }
@@ -481,16 +508,21 @@
                 );
             }
             state.token = token;
-            state.lease = state.lease.max(order["deadline_ms"].as_u64().unwrap_or(0));
+            let longest = state.clock_ms() + self.max_lease.as_millis() as u64;
+            let asked = order["deadline_ms"].as_u64().unwrap_or(0);
+            state.lease = state.lease.max(asked.min(longest));
         }
-        let key = || {
-            let task = order["task"].as_str().unwrap_or_default().to_owned();
-            (task, order["run"].as_u64().unwrap_or(0))
-        };
+        let task = order["task"].as_str().unwrap_or_default().to_owned();
+        let key = (task, order["run"].as_u64().unwrap_or(0));
         match path.as_str() {
-            "/-/run-start" => self.start(key(), &order),
+            "/-/run-start" => {
+                let reply = self.start(key, &order);
+                let delay = self.start_delay_ms.load(Ordering::SeqCst);
+                tokio::time::sleep(Duration::from_millis(delay)).await;
+                reply
+            }
             "/-/run-stop" => {
-                mutex::lock(&self.state).end(&key(), "stopped");
+                mutex::lock(&self.state).stop(&key);
                 http::json(200, &json!({"clock_ms": self.clock_ms()}))
             }
             "/-/hold" => self.hold(&order).await,
@@ -498,8 +530,25 @@
         }
     }
 
-    /// Starts a run. The input `crash` crashes the worker shortly after the start.
-    fn start(&self, key: (String, u64), order: &Value) -> Reply {
+    /// Starts a run. A start that arrives again is answered with success and starts nothing. The input `crash` crashes
+    /// the worker shortly after the start.
+    fn start(&self, key: RunKey, order: &Value) -> Reply {
+        let mut state = mutex::lock(&self.state);
+        let now = state.clock_ms();
+        if state.running.contains_key(&key) {
+            return http::json(200, &json!({"clock_ms": now}));
+        }
+        let is_closed = state.closed.get(&key.0).is_some_and(|run| *run >= key.1);
+        let is_late = order["deadline_ms"].as_u64().unwrap_or(0) <= now;
+        let refusal = match (is_closed, is_late, state.running.len() < PLACES) {
+            (true, ..) => Some("old"),
+            (_, true, _) => Some("late"),
+            (.., false) => Some("room"),
+            _ => None,
+        };
+        if let Some(reason) = refusal {
+            return http::json(409, &json!({"clock_ms": now, "reason": reason}));
+        }
         if order["spec"] == "crash" {
             let worker = self.clone();
             tokio::spawn(async move {
@@ -507,15 +556,10 @@
                 worker.restart(500);
             });
         }
-        let now = self.clock_ms();
-        if order["deadline_ms"].as_u64().unwrap_or(0) <= now {
-            return http::json(409, &json!({"clock_ms": now, "reason": "late"}));
-        }
         let run_time = order["spec"]
             .as_str()
             .and_then(|text| text.parse().ok())
             .unwrap_or(1_000);
-        let mut state = mutex::lock(&self.state);
         state.runs.push(RunRecord {
             task: key.0.clone(),
             number: key.1,
@@ -564,11 +608,24 @@
         self.incarnation.first_ms + self.incarnation.began.elapsed().as_millis() as u64
     }
 
+    /// Stops a run, or makes sure that it never starts.
+    fn stop(&mut self, key: &RunKey) {
+        self.close(key);
+        self.end(key, "stopped");
+    }
+
+    /// Makes sure that neither the run nor an earlier one of its task starts.
+    fn close(&mut self, (task, run): &RunKey) {
+        let highest = self.closed.entry(task.clone()).or_default();
+        *highest = (*highest).max(*run);
+    }
+
     /// Ends a run, unless it has ended already.
-    fn end(&mut self, key: &(String, u64), outcome: &'static str) {
+    fn end(&mut self, key: &RunKey, outcome: &'static str) {
         if self.running.remove(key).is_none() {
             return;
         }
+        self.close(key);
         self.number += 1;
         self.finished
             .push((self.number, key.0.clone(), key.1, outcome));
