Keep a run whose start had no answer if the backend server lists it

What callers saw: a task whose backend server took more than 50 ms to answer its start was stopped there and begun anew elsewhere. The job was answered once and complete, 100 ms later than it could have been, and the first run's work was thrown away.

Cause: an agent took a start without an answer for one that must not run, and ordered a stop without asking whether the run was there.

No lease ran out and no link fell, so the runs weren't lost; each was stopped.

Change: after such a start the agent asks for a listing, for 30 ms at most, before it stops the run. A listing that names a run confirms its start. Only a run that isn't listed is stopped, as before, since its start may be carried out later; nothing about when a task may start elsewhere has changed.

Before, a_run_whose_start_had_no_answer_is_kept_if_it_is_listed failed:

stopped: Run { job: "job", task: 0, number: 1 }

--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -30,6 +30,10 @@
 /// How long the delayed listing may still take after the second one has listed an end.
 const DELAYED_LISTING_GRACE: time::Duration = time::Duration::from_millis(5);
 
+/// How long the agent waits for a listing that tells whether a start without an answer was carried out. On an
+/// ordinary machine the listing takes a millisecond or two.
+const CONFIRMATION_TIMEOUT: time::Duration = time::Duration::from_millis(30);
+
 /// Pause after a listing that failed.
 const LISTING_PAUSE: time::Duration = time::Duration::from_millis(100);
 
@@ -226,6 +230,11 @@
 
 async fn await_start(inner: Arc<Inner>, run: Run, answer: Answer<StartAnswer>) {
     let answer = answer.await;
+    if answer == StartAnswer::Unknown {
+        // If the run is listed, it is kept. Otherwise it is stopped, since its start may be carried out later.
+        let listing = list_once(&inner, time::Duration::ZERO);
+        let _ = timeout(CONFIRMATION_TIMEOUT, listing).await;
+    }
     mutex::lock(&inner.slots).start_answered(clock::since_boot(), &run, answer);
     inner.work_began.notify_one();
     send_orders(&inner);
--- a/src/decide/besteffort/slots/server.rs
+++ b/src/decide/besteffort/slots/server.rs
@@ -102,17 +102,14 @@
             return;
         };
         if held.state != State::Starting {
+            if answer == StartAnswer::Unknown {
+                log::info!(job = run.job.as_str(), task = run.task, run = run.number;
+                    "start had no answer, but its run is listed");
+            }
             return;
         }
         match answer {
-            StartAnswer::Accepted => {
-                held.state = State::Running;
-                held.since = now;
-                if held.must_end_since.is_some() {
-                    self.send_stop(now, run);
-                }
-                self.start_may_have_begun(now);
-            }
+            StartAnswer::Accepted => self.start_confirmed(now, run),
             StartAnswer::Refused => self.end_run(now, run, RunOutcome::NotRun),
             StartAnswer::Unhealthy => self.end_run(now, run, RunOutcome::Rejected),
             StartAnswer::Unknown => {
@@ -127,6 +124,19 @@
         self.dispatch_waiting(now);
     }
 
+    /// Handles the proof that a start was carried out: its answer, or a listing that contains its run.
+    fn start_confirmed(&mut self, now: time::Duration, run: &Run) {
+        let Some(held) = self.held.get_mut(run) else {
+            return;
+        };
+        held.state = State::Running;
+        held.since = now;
+        if held.must_end_since.is_some() {
+            self.send_stop(now, run);
+        }
+        self.start_may_have_begun(now);
+    }
+
     /// Handles the answer to a stop: the run ends within the time that a stop may take, or never begins.
     /// Returns whether a separate listing is needed because nobody knows whether the run began: a run that
     /// never began has no end that would be listed.
@@ -173,12 +183,15 @@
         }
         let mut unknown = Vec::new();
         for (run, percent) in &listing.running {
-            match self.held.get_mut(run) {
-                Some(held) => {
-                    held.percent = *percent;
-                    held.percent_at = now;
-                }
-                None => unknown.push(run.clone()),
+            let Some(held) = self.held.get_mut(run) else {
+                unknown.push(run.clone());
+                continue;
+            };
+            if held.state == State::Starting {
+                self.start_confirmed(now, run);
+            } else {
+                held.percent = *percent;
+                held.percent_at = now;
             }
         }
         for run in unknown {
--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -372,6 +372,50 @@
     });
 }
 
+/// Guards against a run that is stopped, and begun anew elsewhere, because the answer to its start came late: the
+/// backend server has carried the start out.
+#[test]
+fn a_run_whose_start_had_no_answer_is_kept_if_it_is_listed() {
+    support::block_on(async {
+        let Linked {
+            calls,
+            mut entry,
+            agent,
+        } = linked(LONG_BOUND).await;
+        entry.start(run("job", 0, 1)).await;
+        let (begun, unanswered) = calls.start().await;
+        unanswered
+            .send(StartAnswer::Unknown)
+            .expect("the agent waits");
+        let any = |call| match call {
+            support::besteffort::Call::Start(..) => Err(call),
+            other => Ok(other),
+        };
+        // The backend server runs the task until the agent has asked twice. It delays the other listings.
+        let mut listings = 0;
+        let mut delayed = Vec::new();
+        while listings < 2 {
+            match calls.next("a listing or a stop", any).await {
+                support::besteffort::Call::List(call, tx) if call.wait.is_zero() => {
+                    let now = listed(vec![(begun.clone(), 10)], Vec::new());
+                    listings += u32::from(tx.send(Ok(now)).is_ok());
+                }
+                support::besteffort::Call::Stop(_, run, _) => panic!("stopped: {run:?}"),
+                other => delayed.push(other),
+            }
+        }
+        let ended = vec![(begun.clone(), RunOutcome::Done)];
+        calls
+            .answer_list("life", Ok(listed(Vec::new(), ended)))
+            .await;
+        let end = entry
+            .read_until(|message| message.ended.first().cloned())
+            .await;
+        assert_eq!((end.run, end.outcome), (begun, RunOutcome::Done));
+        assert_eq!(agent.status().counts.stops, 0);
+    });
+}
+
 /// Guards against an entry that waits for ends which its agent has written to an older link that went silent.
 #[test]
 fn a_later_link_of_an_entry_closes_the_one_before() {
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -183,6 +183,23 @@
     );
 }
 
+/// Guards against a run that must end and continues: it was withdrawn while its start was under way, and a listing
+/// confirms the start before its answer does.
+#[test]
+fn a_withdrawn_run_is_stopped_once_it_is_listed() {
+    let mut slots = open();
+    slots.message_received(ms(START), &entry(1), START);
+    slots.start_requested(ms(START), &entry(1), true, start(run(0, 1), START));
+    slots.take_orders();
+    slots.withdraw(ms(START + 5), &entry(1), &run(0, 1));
+    assert_eq!(slots.take_orders(), [], "its stop would overtake its start");
+    let running = listing(START + 10, &[run(0, 1)]);
+    slots.listing_received(ms(START + 10), ms(START + 8), running);
+    assert_eq!(slots.take_orders(), [stop(run(0, 1))]);
+    slots.start_answered(ms(START + 50), &run(0, 1), StartAnswer::Unknown);
+    assert_eq!(slots.take_orders(), []);
+}
+
 /// Guards against starts on a full backend server: one that checks its room refuses them, another one is
 /// overloaded. Room is freed only when an end is listed, also that of a stopped run.
 #[test]
