--- a/tests/contract_users_platform.rs
+++ b/tests/contract_users_platform.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use lovagemill::platform::http as platform_http;
 use lovagemill::platform::routes;
 use lovagemill::platform::store::{self, Error, Store};
-use lovagemill::platform::worker;
+use lovagemill::platform::worker::{self, OrderLimits};
 use serde_json::{json, Value};
 
 use support::script::{Script, ScriptedServer, ServerAction};
@@ -141,6 +142,59 @@
     });
 }
 
+/// Guards against a run that is stopped although its start was accepted: the start was sent twice, and the second sending
+/// was turned away before the first was answered. Where both are turned away, the task may start elsewhere at once.
+#[test]
+fn a_start_that_was_sent_twice_counts_by_both_answers() {
+    support::block_on(async {
+        let refused = |reason: &str| (409, reason.to_owned());
+        let status = |status: u16| (status, String::new());
+        let cases = [
+            (status(200), status(503), StartAnswer::Accepted),
+            (status(200), refused("old"), StartAnswer::Accepted),
+            (refused("room"), refused("room"), StartAnswer::Refused),
+            (status(503), refused("room"), StartAnswer::Unhealthy),
+            (status(503), refused("old"), StartAnswer::Unknown),
+            (refused("room"), status(500), StartAnswer::Unknown),
+            (status(500), refused("late"), StartAnswer::Unknown),
+        ];
+        for (first, second, expected) in cases {
+            let shown = format!("{first:?}, {second:?}");
+            let worker = worker_that_answers_twice(first, second).await;
+            let input = CompactString::from("input");
+            let answer = (worker.start)(recipient(), test_run(), input, 99).await;
+            assert_eq!(answer, expected, "{shown}");
+        }
+    });
+}
+
+/// Returns a client of a worker that answers the second sending of a start at once, and the first a moment later.
+async fn worker_that_answers_twice(first: (u16, String), second: (u16, String)) -> BackendServer {
+    let arrived = Arc::new(AtomicU64::new(0));
+    let answer = move |_req: Request<Incoming>| {
+        let is_first = arrived.fetch_add(1, Ordering::SeqCst) == 0;
+        let (arrived, answers) = (arrived.clone(), (first.clone(), second.clone()));
+        async move {
+            let (status, reason) = if is_first { answers.0 } else { answers.1 };
+            if is_first {
+                while arrived.load(Ordering::SeqCst) < 2 {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            platform_http::json(status, &json!({"clock_ms": 5, "reason": reason}))
+        }
+    };
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let limits = || platform_http::monitoring_limits(8);
+    let addr = platform_http::bind(addr, limits, answer).await;
+    let limits = OrderLimits {
+        timeout: Duration::from_secs(10),
+        resend_after: Duration::from_millis(20),
+    };
+    worker::open_with_limits(addr.expect("a free port"), limits)
+}
+
 /// A run is known to be stopped only after the stop was answered with success.
 #[test]
 fn a_stop_is_certain_only_after_success() {
