Search for double runs with starts that are sent twice

Change: in the search, a quarter of the orders get no answer, and a start among them arrives once more 20 ms later, at whichever incarnation of the backend server is there by then: the same, or the next one under the same id, of which the agent may not know yet. The first sending is still carried out seconds later. This asks whether the two sendings of a start, on both sides of a restart, may run a task twice at a time.

--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -114,6 +114,27 @@
     assert!(found.is_empty(), "with late orders: {found:?}");
 }
 
+/// Guards against two runs of a task whose start is sent twice, with a restart of the backend server under its id, an
+/// agent's death or another fault between the two sendings.
+#[test]
+fn no_task_runs_twice_where_starts_are_sent_twice() {
+    let found = doubles(Guards::default(), Faults::resends());
+    assert!(found.is_empty(), "{found:?}");
+}
+
+/// Shows that the search above meets what it looks for: backend servers that carry out a start although the run, or a
+/// later one of its task, has ended there.
+#[test]
+fn a_start_that_is_sent_twice_and_accepted_late_is_found() {
+    let guards = Guards {
+        refuses_late: false,
+        ..Guards::default()
+    };
+    let found = doubles(guards, Faults::resends());
+    assert!(!found.is_empty());
+    println!("found with {} seeds", found.len());
+}
+
 /// A healthy backend server gets no work for as long as it lives. It has come back under its id; what it
 /// lists has the time of a clock that began anew, and its agent passes it over as older than what it
 /// heard from the life before.
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -159,6 +159,8 @@
     CrashRow(usize, usize, u64, Crash),
     /// The agent, its life, the backend server's life that it left for, the order, whether it is answered.
     Order(usize, u64, u64, Order, bool),
+    /// A start of an agent's life that had no answer arrives once more.
+    Resent(usize, u64, Order),
     Started(usize, u64, Run, StartAnswer),
     Stopped(usize, u64, Run),
     /// The agent, its life, whom it asked, when, and the answer.
@@ -384,6 +386,7 @@
             Event::Connect(e, a) => self.connect(e, a),
             Event::CrashRow(e, a, life, crash) => self.read_crash(e, a, life, &crash),
             Event::Order(a, life, to, order, answered) => self.order(a, life, to, order, answered),
+            Event::Resent(a, life, order) => self.resent(a, life, order),
             Event::Started(a, life, run, answer) => {
                 if self.agents[a].process.life == life {
                     let now = self.clock(self.agents[a].process);
--- a/tests/besteffort_sim/world/agents.rs
+++ b/tests/besteffort_sim/world/agents.rs
@@ -12,6 +12,9 @@
 use crate::world::faults::HeldBack;
 use crate::world::{ms, Agent, Event, Process, World, BEAT, DRAIN, ENTRIES, SHRUNK, TICK};
 
+/// How long a start may go unanswered before it is sent once more.
+const RESEND_AFTER: Ms = 20;
+
 impl World {
     /// The clock of a life that begins now; it may begin anywhere.
     pub(super) fn new_clock(&mut self) -> Clock {
@@ -202,6 +205,11 @@
                 if let Order::Start { run, .. } = &order {
                     let unknown = Event::Started(a, life, run.clone(), StartAnswer::Unknown);
                     self.at(self.now + 150, unknown);
+                    if self.faults.resends {
+                        let again = Event::Resent(a, life, order.clone());
+                        let delay = RESEND_AFTER + self.rng.random_range(0..2);
+                        self.at(self.now + delay, again);
+                    }
                 }
             }
             let to = self.agents[a].server.life();
@@ -283,6 +291,31 @@
         }
     }
 
+    /// A start arrives once more, at whichever life of the backend server is there by then. Only a success is certain,
+    /// since the first sending may still be carried out.
+    pub(super) fn resent(&mut self, a: usize, life: u64, order: Order) {
+        let Order::Start {
+            to,
+            run,
+            lease_until_ms,
+            ..
+        } = order
+        else {
+            return;
+        };
+        if self.is_unanswered() {
+            return;
+        }
+        let (work, token) = (self.work(), self.guards.token(life, &to));
+        let id = to.incarnation.id.as_str();
+        let server = &mut self.agents[a].server;
+        let answer = server.start(self.now, id, token, &run, lease_until_ms, work);
+        if answer == StartAnswer::Accepted {
+            let delay = self.rng.random_range(0..2);
+            self.at(self.now + delay, Event::Started(a, life, run, answer));
+        }
+    }
+
     /// Mostly short tasks, and some that are still at work when their job is submitted again.
     pub(super) fn work(&mut self) -> Ms {
         if self.rng.random_range(0..4) == 0 {
--- a/tests/besteffort_sim/world/faults.rs
+++ b/tests/besteffort_sim/world/faults.rs
@@ -110,6 +110,8 @@
     pub(super) small: bool,
     /// Whether entries link to one agent, and to others only as their work needs it.
     pub(super) picks: bool,
+    /// Whether a start without an answer is sent once more.
+    pub(super) resends: bool,
 }
 
 /// What becomes of orders that are carried out seconds late where the life that they left for is dead.
@@ -136,6 +138,7 @@
             crashing_tasks: false,
             small: false,
             picks: false,
+            resends: false,
         }
     }
 }
@@ -178,6 +181,17 @@
         }
     }
 
+    /// Starts that are sent twice, on both sides of a crash of a backend server that keeps its id, beside every
+    /// other fault.
+    pub fn resends() -> Faults {
+        Faults {
+            every: 120,
+            unanswered: 25,
+            resends: true,
+            ..Faults::returns_and_late_orders()
+        }
+    }
+
     /// Backend servers that come back under their id and agents that die, until some seconds before the
     /// end.
     pub fn returns_and_lives() -> Faults {
