--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -222,6 +222,23 @@
     });
 }
 
+/// Guards against a caller that waits in vain for a job that is done: the backend server carries out every start, and no
+/// answer to a start arrives.
+#[test]
+fn a_job_is_done_although_no_start_is_answered() {
+    block_on(async {
+        let system = System::open("unanswered", 1, 2).await;
+        for worker in &system.workers {
+            worker.delay_start_answers(2 * processes::HANG);
+        }
+        for (id, ms) in [(1, 5), (2, 200)] {
+            let (status, body) = system.submit(0, id, &job(4, ms)).await;
+            assert_eq!((status, &body["state"]), (200, &json!("complete")));
+        }
+        assert!(!system.run_counts().1, "two runs of a task overlapped");
+    });
+}
+
 /// Waits for all futures at once; returns their results in the order in which they complete.
 async fn join_all<T>(all: impl Iterator<Item = impl std::future::Future<Output = T>>) -> Vec<T> {
     let mut done = Vec::new();
