Say by hand what crashing tasks cost, and by which of their effects

Change: an ignored test of the load play draws the arrivals apart from all else, so that every way plays the same jobs, and splits what sound jobs lose into those hit by the first crash of a cause, those hit only by a later one, and those that were late or refused without being hit. One effect of a crash at a time can be taken away.

--- a/tests/besteffort_load/load.rs
+++ b/tests/besteffort_load/load.rs
@@ -1,10 +1,10 @@
 //! The deployment and the load of a simulation, and its results.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use lovagemill::decide::besteffort::job::Submission;
-use lovagemill::decide::besteffort::message::{Room, Run};
+use lovagemill::decide::besteffort::message::{JobId, Room, Run};
 use lovagemill::decide::besteffort::slots::Isolation;
 
 /// Number of tasks that a backend server has room for.
@@ -33,6 +33,17 @@
     Base,
 }
 
+/// What a crash of a backend server ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CrashEffect {
+    /// All its runs, and the backend server is down for some seconds.
+    AllRunsAndService,
+    /// All its runs; the next incarnation is there at once.
+    AllRuns,
+    /// Only the run that causes it.
+    CauseOnly,
+}
+
 /// The deployment and the load of a simulation.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
@@ -46,6 +57,9 @@
     /// One in so many jobs of the first class has a task that crashes each backend server that starts it;
     /// none if 0.
     pub crashing_one_in: u64,
+    pub crash: CrashEffect,
+    /// Whether the arrivals are drawn apart from all else, so that they are the same under another load.
+    pub own_arrivals: bool,
     /// Percent of jobs whose callers submit them again after a loss, too late for their targets.
     pub resubmitted_percent: u32,
     /// Whether these callers state their shorter wait.
@@ -117,6 +131,11 @@
     pub sound_failed: u64,
     /// Number of backend servers that each task has crashed.
     pub crashed: BTreeMap<(String, u32), u32>,
+    /// Sound jobs that had a run on a backend server as it crashed: at the first crash of its cause, and at a later
+    /// one.
+    pub hit: [BTreeSet<JobId>; 2],
+    /// Sound jobs of each class that were in time nevertheless.
+    pub hit_in_time: [u64; 3],
     /// Jobs that arrived a second or more after a failure domain was lost.
     pub after_loss: Jobs,
     /// Links of all entries at the end.
@@ -139,6 +158,19 @@
         self.worked_us as f64 / self.capacity_us as f64
     }
 
+    /// Returns the shares of a class's sound jobs that were hit by the first crash of a cause, that were hit only by a
+    /// later one, and that weren't hit but were late or refused.
+    pub fn crash_account(&self, class: usize) -> [f64; 3] {
+        let of_class = |job: &&JobId| job.ends_with(&class.to_string());
+        let first = self.hit[0].iter().filter(of_class).count() as u64;
+        let later = self.hit[1].difference(&self.hit[0]);
+        let later = later.filter(of_class).count() as u64;
+        let jobs = self.jobs[class];
+        let hit_and_lost = first + later - self.hit_in_time[class];
+        let lost = jobs.all - jobs.answered_in_time;
+        [first, later, lost.saturating_sub(hit_and_lost)].map(|n| jobs.share(n))
+    }
+
     /// Largest number of backend servers that one task has crashed.
     pub fn most_crashed(&self) -> u32 {
         self.crashed.values().copied().max().unwrap_or(0)
--- a/tests/besteffort_load/main.rs
+++ b/tests/besteffort_load/main.rs
@@ -6,7 +6,7 @@
 mod schedule;
 mod world;
 
-use load::{Informed, Links, Load, Results};
+use load::{CrashEffect, Informed, Links, Load, Results};
 use lovagemill::decide::besteffort::slots::Isolation;
 use world::World;
 
@@ -18,6 +18,8 @@
     unanswered_percent: 5,
     informed: Informed::Borrower,
     crashing_one_in: 0,
+    crash: CrashEffect::AllRunsAndService,
+    own_arrivals: false,
     resubmitted_percent: 0,
     states_short_wait: true,
     isolation: Isolation::Probation,
@@ -161,6 +163,71 @@
     }
 }
 
+/// Says what callers lose to crashing tasks, and by which of their effects. It is run by hand, for
+/// `LOVAGEMILL_SEEDS` seeds.
+#[test]
+#[ignore = "takes minutes; prints the figures of docs/design/crashes.md"]
+fn what_crashes_cost() {
+    let seeds = std::env::var("LOVAGEMILL_SEEDS").ok();
+    let seeds: u64 = seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(10);
+    let both = CrashEffect::AllRunsAndService;
+    let ways = [
+        ("as it is", 0.8, both, Isolation::Probation),
+        ("no isolation", 0.8, both, Isolation::Together),
+        ("suspects alone", 0.8, both, Isolation::Alone),
+        (
+            "back at once",
+            0.8,
+            CrashEffect::AllRuns,
+            Isolation::Probation,
+        ),
+        (
+            "back at once, no isolation",
+            0.8,
+            CrashEffect::AllRuns,
+            Isolation::Together,
+        ),
+        (
+            "others run on",
+            0.8,
+            CrashEffect::CauseOnly,
+            Isolation::Probation,
+        ),
+        ("load 0.6", 0.6, both, Isolation::Probation),
+    ];
+    for (entries, agents) in [(4, 11), (12, 68)] {
+        for (name, load_factor, crash, isolation) in ways {
+            let load = Load {
+                entries,
+                agents,
+                load_factor,
+                unanswered_percent: 0,
+                seconds: 4,
+                crashing_one_in: 100,
+                crash,
+                isolation,
+                own_arrivals: true,
+                ..GROWN
+            };
+            let mut means = [[0.0; 4]; 3];
+            for results in (0..seeds).map(|seed| World::open(seed, load).run()) {
+                for (class, mean) in means.iter_mut().enumerate() {
+                    let [first, later, others] = results.crash_account(class);
+                    let in_time = results.jobs[class].in_time();
+                    for (sum, share) in mean.iter_mut().zip([in_time, first, later, others]) {
+                        *sum += share / seeds as f64;
+                    }
+                }
+            }
+            let text = |n: usize| means.map(|mean| format!("{:.3}", mean[n])).join(" ");
+            println!(
+                "{entries}x{agents} {name} | in time {} | hit by a first crash {} | by a later one {} | others {}",
+                text(0), text(1), text(2), text(3)
+            );
+        }
+    }
+}
+
 /// Guards against new callers' work that is late or refused after a fault of many machines, because it waits
 /// behind the work of callers who submit again too late for any target. It must be done in time as if these
 /// callers weren't there. They submit 40 in a hundred of all jobs, and all callers together submit 1.3 times
--- a/tests/besteffort_load/world.rs
+++ b/tests/besteffort_load/world.rs
@@ -9,7 +9,7 @@
 use lovagemill::decide::besteffort::job::{JobNo, Outcome};
 use lovagemill::decide::besteffort::lease::Bounds;
 use lovagemill::decide::besteffort::message::{
-    AgentMessage, Backend, EntryIncarnation, EntryMessage, Heartbeat, Room, Run, RunOutcome,
+    AgentMessage, Backend, EntryIncarnation, EntryMessage, Heartbeat, JobId, Room, Run, RunOutcome,
     ServerIncarnation,
 };
 use lovagemill::decide::besteffort::policy::Policy;
@@ -18,7 +18,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::load::{self, Informed, Links, Load, Results, CLASSES, PLACES};
+use crate::load::{self, CrashEffect, Informed, Links, Load, Results, CLASSES, PLACES};
 use crate::schedule::Schedule;
 
 /// A time or duration in microseconds.
@@ -90,8 +90,8 @@
     /// The links that the board wants.
     wanted: BTreeSet<u64>,
     heartbeat_sent_at: Us,
-    /// The class of each job, whether the job is sound, and when it arrived.
-    callers: HashMap<JobNo, (usize, bool, Us)>,
+    /// The class of each job, whether the job is sound, when it arrived, and its id.
+    callers: HashMap<JobNo, (usize, bool, Us, JobId)>,
 }
 
 struct Agent {
@@ -116,6 +116,8 @@
     now: Us,
     load: Load,
     rng: SmallRng,
+    /// Draws the arrivals where they are drawn apart from all else.
+    own_arrivals: Option<SmallRng>,
     events: Schedule<Event>,
     names: Vec<EntryIncarnation>,
     entries: Vec<Entry>,
@@ -159,6 +161,7 @@
             now: BEGIN_AT,
             load,
             rng: SmallRng::seed_from_u64(seed),
+            own_arrivals: load.own_arrivals.then(|| SmallRng::seed_from_u64(seed)),
             events: Schedule::default(),
             names: (0..load.entries).map(name).collect(),
             entries: Vec::new(),
@@ -401,31 +404,31 @@
             .sum();
         let places = (PLACES * self.load.agents as u64) as f64;
         let mean_pause = mean / places / self.load.load_factor * MS as f64;
-        let pause = self.rng.random_range(0.0..2.0 * mean_pause);
+        let pause = self.arrivals().random_range(0.0..2.0 * mean_pause);
         self.after(pause as Us, Event::NextJob);
-        let pick = self.rng.random_range(0..100);
+        let pick = self.arrivals().random_range(0..100);
         let class = match pick {
             0..24 => 0,
             24..94 => 1,
             _ => 2,
         };
         // The load balancer's hash is uneven: the first entries get up to twice as much as the last.
-        let uneven = self.rng.random_range(0.0..1.0_f64).powf(1.3);
+        let uneven = self.arrivals().random_range(0.0..1.0_f64).powf(1.3);
         let mut e = (uneven * self.load.entries as f64) as usize;
         if self.load.to_first_percent > 0
-            && self.rng.random_range(0..100) < self.load.to_first_percent
+            && self.arrivals().random_range(0..100) < self.load.to_first_percent
         {
             e = 0;
         }
         self.jobs += 1;
         let mut submission = load::submission(self.jobs, class, at(self.now));
         if self.load.labelled_percent > 0
-            && self.rng.random_range(0..100) < self.load.labelled_percent
+            && self.arrivals().random_range(0..100) < self.load.labelled_percent
         {
             submission.required_label = Some(RARE.into());
         }
         let is_resubmitted = self.load.resubmitted_percent > 0
-            && self.rng.random_range(0..100) < self.load.resubmitted_percent;
+            && self.arrivals().random_range(0..100) < self.load.resubmitted_percent;
         if is_resubmitted {
             submission.deadline -= EARLIER_WAIT;
         }
@@ -435,17 +438,23 @@
         let is_sound = !self.load.has_crashing_task(&submission.job) && !is_resubmitted;
         self.results.jobs[class].all += u64::from(is_sound);
         self.results.after_loss.all += u64::from(self.is_after_loss(self.now));
+        let id = submission.job.clone();
         match self.entries[e].board.submit(at(self.now), submission) {
             SubmitResult::Job(no) => {
                 self.entries[e]
                     .callers
-                    .insert(no, (class, is_sound, self.now));
+                    .insert(no, (class, is_sound, self.now, id));
             }
             SubmitResult::Answered(_) => self.refused(class, is_sound),
         }
         self.flush_entry(e);
     }
 
+    /// Returns the generator from which arrivals are drawn.
+    fn arrivals(&mut self) -> &mut SmallRng {
+        self.own_arrivals.as_mut().unwrap_or(&mut self.rng)
+    }
+
     fn entry_tick(&mut self, e: usize) {
         self.entries[e].board.tick(at(self.now));
         self.flush_entry(e);
@@ -506,7 +515,7 @@
     }
 
     fn answered(&mut self, e: usize, no: JobNo, outcome: &Outcome) {
-        let Some((class, is_sound, arrived_at)) = self.entries[e].callers.remove(&no) else {
+        let Some((class, is_sound, arrived_at, id)) = self.entries[e].callers.remove(&no) else {
             return;
         };
         let (tasks, ms, _) = CLASSES[class];
@@ -516,6 +525,8 @@
                 let target = ms * MS * 16 / 10 + 60 * MS;
                 let is_in_time = is_sound && self.now - arrived_at <= target;
                 self.results.jobs[class].answered_in_time += u64::from(is_in_time);
+                let was_hit = self.results.hit.iter().any(|hit| hit.contains(&id));
+                self.results.hit_in_time[class] += u64::from(is_in_time && was_hit);
                 self.results.after_loss.answered_in_time +=
                     u64::from(is_in_time && self.is_after_loss(arrived_at));
             }
@@ -628,13 +639,30 @@
         if !agent.running.contains_key(run) {
             return;
         }
+        let task = (run.job.to_string(), run.task);
+        let crashes = self.results.crashed.entry(task).or_default();
+        *crashes += 1;
+        let hit = &mut self.results.hit[usize::from(*crashes > 1)];
+        let others = agent.running.keys().map(|run| &run.job);
+        hit.extend(
+            others
+                .filter(|job| !self.load.has_crashing_task(job))
+                .cloned(),
+        );
+        if self.load.crash == CrashEffect::CauseOnly {
+            agent.running.remove(run);
+            agent.end(run.clone(), RunOutcome::Failed);
+            return;
+        }
         agent.running.clear();
         agent.ended.clear();
         agent.last_end = 0;
-        agent.down_until = self.now + DOWN_TIME;
-        let task = (run.job.to_string(), run.task);
-        *self.results.crashed.entry(task).or_default() += 1;
-        self.after(DOWN_TIME, Event::ServerBack(a));
+        let down = match self.load.crash {
+            CrashEffect::AllRuns => MS,
+            _ => DOWN_TIME,
+        };
+        agent.down_until = self.now + down;
+        self.after(down, Event::ServerBack(a));
     }
 
     fn order(&mut self, a: usize, order: Order) {
