--- a/tests/users_platform/standins.rs
+++ b/tests/users_platform/standins.rs
@@ -630,7 +630,7 @@
         self.finished
             .push((self.number, key.0.clone(), key.1, outcome));
         let mut runs = self.runs.iter_mut().rev();
-        if let Some(run) = runs.find(|run| run.task == key.0 && run.ended.is_none()) {
+        if let Some(run) = runs.find(|run| run.task == key.0 && run.number == key.1) {
             run.ended = Some(Instant::now());
             run.outcome = outcome;
         }
