--- a/tests/users_platform/standin_contract.rs
+++ b/tests/users_platform/standin_contract.rs
@@ -16,23 +16,23 @@
 const LONG_LEASE: Duration = Duration::from_secs(3_600);
 
 /// A worker, and a client that sends it orders.
-struct Ordered {
+struct WorkerClient {
     worker: Worker,
     client: Client,
 }
 
-async fn open() -> Ordered {
+async fn open() -> WorkerClient {
     open_with(Worker::open_with_lease("i-0", LONG_LEASE).await)
 }
 
-fn open_with(worker: Worker) -> Ordered {
-    Ordered {
+fn open_with(worker: Worker) -> WorkerClient {
+    WorkerClient {
         worker,
         client: http::open(1024 * 1024),
     }
 }
 
-impl Ordered {
+impl WorkerClient {
     async fn order(&self, path: &str, order: Value) -> (u16, Value) {
         let uri = format!("http://{}{path}", self.worker.addr);
         let call = Call::new(Method::POST, uri, order.to_string());
@@ -78,13 +78,13 @@
 #[test]
 fn a_second_start_of_a_run_starts_nothing() {
     block_on(async {
-        let ordered = open().await;
-        assert_eq!(ordered.start("a.0.0.0", 3, 300).await, accepted());
-        assert_eq!(ordered.start("a.0.0.0", 3, 300).await, accepted());
-        assert_eq!(ordered.worker.runs().len(), 1);
-        ordered.wait_until_idle().await;
-        assert_eq!(ordered.start("a.0.0.0", 3, 300).await, refused("old"));
-        assert_eq!(ordered.worker.runs().len(), 1);
+        let client = open().await;
+        assert_eq!(client.start("a.0.0.0", 3, 300).await, accepted());
+        assert_eq!(client.start("a.0.0.0", 3, 300).await, accepted());
+        assert_eq!(client.worker.runs().len(), 1);
+        client.wait_until_idle().await;
+        assert_eq!(client.start("a.0.0.0", 3, 300).await, refused("old"));
+        assert_eq!(client.worker.runs().len(), 1);
     });
 }
 
@@ -92,14 +92,14 @@
 #[test]
 fn a_run_up_to_one_that_has_ended_is_refused() {
     block_on(async {
-        let ordered = open().await;
-        assert_eq!(ordered.start("a.0.0.0", 3, 1).await, accepted());
-        ordered.wait_until_idle().await;
+        let client = open().await;
+        assert_eq!(client.start("a.0.0.0", 3, 1).await, accepted());
+        client.wait_until_idle().await;
         for run in [1, 2, 3] {
-            assert_eq!(ordered.start("a.0.0.0", run, 1).await, refused("old"));
+            assert_eq!(client.start("a.0.0.0", run, 1).await, refused("old"));
         }
-        assert_eq!(ordered.start("a.0.0.0", 4, 1).await, accepted());
-        assert_eq!(ordered.start("a.0.0.1", 1, 1).await, accepted());
+        assert_eq!(client.start("a.0.0.0", 4, 1).await, accepted());
+        assert_eq!(client.start("a.0.0.1", 1, 1).await, accepted());
     });
 }
 
@@ -107,15 +107,15 @@
 #[test]
 fn a_run_that_was_stopped_before_its_start_is_refused() {
     block_on(async {
-        let ordered = open().await;
-        assert_eq!(ordered.stop("a.0.0.0", 5).await, 200);
-        assert_eq!(ordered.start("a.0.0.0", 5, 1).await, refused("old"));
-        assert_eq!(ordered.start("a.0.0.0", 4, 1).await, refused("old"));
-        assert!(ordered.worker.runs().is_empty());
-        assert_eq!(ordered.start("a.0.0.0", 6, 400).await, accepted());
-        assert_eq!(ordered.stop("a.0.0.0", 6).await, 200);
-        assert_eq!(ordered.worker.runs()[0].outcome, "stopped");
-        assert_eq!(ordered.start("a.0.0.0", 6, 1).await, refused("old"));
+        let client = open().await;
+        assert_eq!(client.stop("a.0.0.0", 5).await, 200);
+        assert_eq!(client.start("a.0.0.0", 5, 1).await, refused("old"));
+        assert_eq!(client.start("a.0.0.0", 4, 1).await, refused("old"));
+        assert!(client.worker.runs().is_empty());
+        assert_eq!(client.start("a.0.0.0", 6, 400).await, accepted());
+        assert_eq!(client.stop("a.0.0.0", 6).await, 200);
+        assert_eq!(client.worker.runs()[0].outcome, "stopped");
+        assert_eq!(client.start("a.0.0.0", 6, 1).await, refused("old"));
     });
 }
 
@@ -123,13 +123,13 @@
 #[test]
 fn a_run_without_room_is_refused() {
     block_on(async {
-        let ordered = open().await;
+        let client = open().await;
         for task in 0..PLACES {
             let name = format!("a.0.0.{task}");
-            assert_eq!(ordered.start(&name, 1, 60_000).await, accepted());
+            assert_eq!(client.start(&name, 1, 60_000).await, accepted());
         }
-        assert_eq!(ordered.start("b.0.0.0", 1, 1).await, refused("room"));
-        assert_eq!(ordered.start("a.0.0.0", 1, 1).await, accepted());
+        assert_eq!(client.start("b.0.0.0", 1, 1).await, refused("room"));
+        assert_eq!(client.start("a.0.0.0", 1, 1).await, accepted());
     });
 }
 
@@ -137,10 +137,10 @@
 #[test]
 fn a_lease_is_shortened_to_the_longest() {
     block_on(async {
-        let ordered = open_with(Worker::open("i-0").await);
-        assert_eq!(ordered.start("a.0.0.0", 1, 60_000).await, accepted());
-        ordered.wait_until_idle().await;
-        assert_eq!(ordered.worker.runs()[0].outcome, "lapsed");
+        let client = open_with(Worker::open("i-0").await);
+        assert_eq!(client.start("a.0.0.0", 1, 60_000).await, accepted());
+        client.wait_until_idle().await;
+        assert_eq!(client.worker.runs()[0].outcome, "lapsed");
     });
 }
 
@@ -148,9 +148,9 @@
 #[test]
 fn a_restarted_worker_knows_no_earlier_run() {
     block_on(async {
-        let ordered = open().await;
-        assert_eq!(ordered.stop("a.0.0.0", 5).await, 200);
-        ordered.worker.restart(1_000_000);
-        assert_eq!(ordered.start("a.0.0.0", 5, 1).await, accepted());
+        let client = open().await;
+        assert_eq!(client.stop("a.0.0.0", 5).await, 200);
+        client.worker.restart(1_000_000);
+        assert_eq!(client.start("a.0.0.0", 5, 1).await, accepted());
     });
 }
