Read what arrived during a standstill before runs are given up

Callers waited about a second longer, and tasks that were done ran again on another backend server.

Cause: an agent that had stood still for longer than the lease checked its time bounds first and gave up all runs. The listing with their ends lay unread in its socket.

Change: the first check after a standstill is skipped once; what has arrived is read before the next one, 20 ms later.

--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -19,6 +19,10 @@
 /// Interval at which the time bounds are checked while the agent holds no run.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
 
+/// A check of the time bounds that is so late shows that the process stood still. On an ordinary machine it is late by
+/// a few milliseconds.
+const MIN_STANDSTILL: time::Duration = time::Duration::from_millis(40);
+
 /// How long the backend server may delay a listing until a run ends; it bounds the age of the lease and of the
 /// reported progress.
 const MAX_LISTING_WAIT: time::Duration = time::Duration::from_millis(150);
@@ -39,21 +43,29 @@
 
 pub(super) async fn tick(inner: Arc<Inner>) {
     let mut last = clock::since_boot();
+    let mut skipped = false;
     let bounds = inner.cfg.bounds;
     let leftovers_lapse_at = last + bounds.lease_lapses_within();
     loop {
         let idle = mutex::lock(&inner.slots).is_idle();
-        sleep(if idle { IDLE_TICK } else { TICK }).await;
+        let interval = if idle { IDLE_TICK } else { TICK };
+        sleep(interval).await;
         let now = clock::since_boot();
-        if now - last > bounds.silence {
-            log::warn!(ms = (now - last).as_millis() as u64; "this process stood still");
+        let pause = now - last;
+        if pause > bounds.silence {
+            log::warn!(ms = pause.as_millis() as u64; "this process stood still");
         }
         last = now;
         if now > leftovers_lapse_at {
             inner.leftovers_ended.store(true, Ordering::Relaxed);
         }
         renew_if_late(&inner, now);
-        mutex::lock(&inner.slots).tick(now);
+        // After a standstill, what arrived meanwhile is read first: it may show that a run has ended, or that an entry
+        // is up.
+        skipped = !skipped && pause > interval + MIN_STANDSTILL;
+        if !skipped {
+            mutex::lock(&inner.slots).tick(now);
+        }
         send_orders(&inner);
         wake_links_with_unsent(&inner);
     }
--- a/tests/users_platform/main.rs
+++ b/tests/users_platform/main.rs
@@ -239,6 +239,31 @@
     });
 }
 
+/// Guards against a task that runs again although it was done: its agent stood still for longer than the lease, and
+/// gave the run up before it read the listing that had arrived meanwhile.
+#[test]
+fn a_task_that_ends_during_a_standstill_of_its_agent_runs_once() {
+    block_on(async {
+        let system = System::open("standstill", 1, 1).await;
+        let submitted = job(1, 150);
+        for id in 1..=3 {
+            let standstill = async {
+                while system.workers[0].runs().len() < id as usize {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                system.agents[0].signal("-STOP");
+                tokio::time::sleep(Duration::from_millis(900)).await;
+                system.agents[0].signal("-CONT");
+            };
+            let ((status, body), ()) = tokio::join!(system.submit(0, id, &submitted), standstill);
+            assert_eq!((status, &body["state"]), (200, &json!("complete")));
+        }
+        let (counts, _) = system.run_counts();
+        assert!(counts.values().all(|n| *n == 1), "{counts:?}");
+    });
+}
+
 /// Waits for all futures at once; returns their results in the order in which they complete.
 async fn join_all<T>(all: impl Iterator<Item = impl std::future::Future<Output = T>>) -> Vec<T> {
     let mut done = Vec::new();
