--- a/src/besteffort/agent/server.rs
+++ b/src/besteffort/agent/server.rs
@@ -20,8 +20,8 @@
 /// Interval at which the time bounds are checked while the agent holds no run.
 const IDLE_TICK: time::Duration = time::Duration::from_millis(100);
 
-/// A check of the time bounds that is so late shows that the process stood still. On an ordinary machine it is late by
-/// a few milliseconds.
+/// A check of the time bounds that is late by more than this shows that the process stood still. On an ordinary machine
+/// it is late by a few milliseconds.
 const MIN_STANDSTILL: time::Duration = time::Duration::from_millis(40);
 
 /// How long the backend server may delay a listing until a run ends; it bounds the age of the lease and of the
@@ -44,7 +44,7 @@
 
 pub(super) async fn tick(inner: Arc<Inner>) {
     let mut last = clock::since_boot();
-    let mut skipped = false;
+    let mut skipped_check = false;
     let bounds = inner.cfg.bounds;
     let leftovers_lapse_at = last + bounds.lease_lapses_within();
     loop {
@@ -63,8 +63,8 @@
         renew_if_late(&inner, now);
         // After a standstill, what arrived meanwhile is read first: it may show that a run has ended, or that an entry
         // is up.
-        skipped = !skipped && pause > interval + MIN_STANDSTILL;
-        if !skipped {
+        skipped_check = !skipped_check && pause > interval + MIN_STANDSTILL;
+        if !skipped_check {
             mutex::lock(&inner.slots).tick(now);
         }
         send_orders(&inner);
