--- a/review/standins/cancelled.rs
+++ b/review/standins/cancelled.rs
@@ -15,7 +15,7 @@
 /// How long after its submission a job is cancelled.
 const CANCELLED_AFTER: Duration = Duration::from_millis(100);
 
-pub fn play(lab: &Lab, trouble: bool) -> Verdict {
+pub fn play(lab: &mut Lab, trouble: bool) -> Verdict {
     let (first, other) = (lab.entries[0].callers, lab.entries[1].callers);
     let mut callers = Vec::new();
     let mut cancelled = Vec::new();
--- a/review/standins/lab.rs
+++ b/review/standins/lab.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -27,7 +27,7 @@
 pub const WORKER_CPU: u64 = 32_000;
 
 /// Processor time of a task in thousandths of a core, as in the small deployments.
-const TASK_CPU: u64 = 3_100;
+pub const TASK_CPU: u64 = 3_100;
 
 /// The longest work of a task in the small deployments (`route-clearance`), in milliseconds.
 pub const LONGEST_WORK_MS: u64 = 3_600;
@@ -45,8 +45,9 @@
 const CANCEL_MS: u64 = 3_000;
 const STOP_GRACE_MS: u64 = 50;
 
-/// The zones of the deployment: each has an entry and two workers.
-const ZONES: [&str; 3] = ["za", "zb", "zc"];
+/// The zones of the entries, and those of the workers.
+const ENTRY_ZONES: [&str; 3] = ["za", "zb", "zc"];
+const WORKER_ZONES: [&str; 7] = ["za", "zb", "zc", "za", "zb", "zc", "za"];
 
 /// One run of a task at a worker.
 #[derive(Clone, Debug)]
@@ -60,12 +61,20 @@
     pub how: String,
 }
 
+/// A heartbeat of a worker that its agent has acknowledged.
+#[derive(Clone, Debug)]
+pub struct Beat {
+    pub worker: String,
+    pub at_us: u64,
+}
+
 /// All that was seen, and the file it is written to.
 #[derive(Clone)]
 pub struct Record {
     file: Arc<Mutex<File>>,
     began_us: u64,
     runs: Arc<Mutex<Vec<Run>>>,
+    beats: Arc<Mutex<Vec<Beat>>>,
 }
 
 impl Record {
@@ -75,6 +84,7 @@
             file: Arc::new(Mutex::new(file)),
             began_us: epoch_us(),
             runs: Arc::default(),
+            beats: Arc::default(),
         }
     }
 
@@ -132,10 +142,41 @@
                     run.how = rest;
                 }
             }
+            "beat" => {
+                let (status, cpu) = (task, number);
+                self.note_at(
+                    at_us,
+                    format!("worker {worker}: heartbeat with a room of {cpu}, status {status}"),
+                );
+                if status == "200" {
+                    self.beats
+                        .lock()
+                        .expect("a lock")
+                        .push(Beat { worker, at_us });
+                }
+            }
+            "room" => self.note_at(at_us, format!("worker {worker}: its room is {task} now")),
             _ => {}
         }
     }
 
+    /// Waits for the next heartbeat of a worker that its agent acknowledges; none if none comes in time.
+    pub fn next_beat(&self, worker: &str, limit: Duration) -> Option<Beat> {
+        let from = epoch_us();
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            let beats = self.beats.lock().expect("a lock").clone();
+            let found = beats
+                .into_iter()
+                .find(|beat| beat.worker == worker && beat.at_us > from);
+            if found.is_some() {
+                return found;
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        None
+    }
+
     /// Ends all runs of a worker that was killed.
     fn worker_died(&self, worker: &str) {
         let now = epoch_us();
@@ -238,6 +279,8 @@
     pub agent: Process,
     pub announce: SocketAddr,
     pub worker: Option<Process>,
+    /// Where the worker takes its room from.
+    room: Option<ChildStdin>,
     pub worker_addr: SocketAddr,
     pub zone: String,
     pub lives: u64,
@@ -245,6 +288,8 @@
 
 pub struct Lab {
     dir: PathBuf,
+    /// Whether workers reject what doesn't fit.
+    guards: bool,
     pub record: Record,
     pub store: Store,
     pub entries: Vec<Entry>,
@@ -282,10 +327,11 @@
 }
 
 impl Lab {
-    fn open(dir: &Path, record: Record) -> Lab {
+    fn open(dir: &Path, record: Record, guards: bool) -> Lab {
         let store = Store::open();
         let lab = Lab {
             dir: dir.to_owned(),
+            guards,
             record,
             store,
             entries: Vec::new(),
@@ -295,13 +341,14 @@
         lab
     }
 
-    /// Opens a deployment with an entry and two workers in each zone; none if the entries don't get ready.
-    pub fn open_small(dir: &Path, record: Record) -> Option<Lab> {
-        let mut lab = Lab::open(dir, record);
-        for zone in ZONES {
+    /// Opens a deployment with three entries and seven workers; none if the entries don't get ready.
+    /// `guards` tells whether workers reject what doesn't fit.
+    pub fn open_small(dir: &Path, record: Record, guards: bool) -> Option<Lab> {
+        let mut lab = Lab::open(dir, record, guards);
+        for zone in ENTRY_ZONES {
             lab.add_entry(zone);
         }
-        for zone in ZONES.into_iter().chain(ZONES) {
+        for zone in WORKER_ZONES {
             lab.add_side(zone);
             let rack = format!("r1-{}", lab.sides.len().div_ceil(3));
             lab.start_worker(lab.sides.len() - 1, &["a", &rack]);
@@ -316,7 +363,7 @@
             ("max_conns", 64.into()),
             ("protocol", "h1".into()),
             ("tls", Json::Bool(false)),
-            ("enforces_capacity", Json::Bool(true)),
+            ("enforces_capacity", Json::Bool(self.guards)),
             ("spare", Json::Bool(false)),
         ]);
         let limits = map([
@@ -358,6 +405,12 @@
     fn start(&self, program: &str, name: &str, settings: &Json) -> Process {
         let path = self.dir.join(format!("{name}.json"));
         fs::write(&path, settings.to_string()).expect("the settings can be written");
+        self.spawn(program, name)
+    }
+
+    /// Starts a program whose settings lie in the folder.
+    fn spawn(&self, program: &str, name: &str) -> Process {
+        let path = self.dir.join(format!("{name}.json"));
         let log = File::options()
             .create(true)
             .append(true)
@@ -424,6 +477,7 @@
             agent,
             announce,
             worker: None,
+            room: None,
             worker_addr,
             zone: zone.to_owned(),
             lives: 0,
@@ -447,7 +501,8 @@
             ])
             .arg(labels.join(","))
             .arg(WORKER_CPU.to_string())
-            .stdin(Stdio::null())
+            .arg(self.guards.to_string())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .expect("the worker starts");
@@ -465,6 +520,7 @@
             }
             writing.worker_died(&name);
         });
+        side.room = child.stdin.take();
         side.worker = Some(Process {
             child,
             name: id.clone(),
@@ -473,6 +529,26 @@
     }
 
     /// Waits until every entry says that it is ready; returns whether that came in time.
+    /// Changes the room of a side's worker, in thousandths of a core.
+    pub fn set_room(&mut self, side: usize, cpu: u64) {
+        if let Some(room) = &mut self.sides[side].room {
+            let _ = writeln!(room, "{cpu}");
+        }
+    }
+
+    /// Kills a side's agent.
+    pub fn kill_agent(&mut self, side: usize) {
+        let agent = &mut self.sides[side].agent;
+        self.record.note(format!("{} is killed", agent.name));
+        agent.kill();
+    }
+
+    /// Starts a side's agent again, with the settings that it had.
+    pub fn restart_agent(&mut self, side: usize) {
+        let name = self.sides[side].agent.name.clone();
+        self.sides[side].agent = self.spawn(AGENT, &name);
+    }
+
     fn wait_until_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         let is_ready = |entry: &Entry| {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,6 +12,7 @@
 mod cancelled;
 mod overtaken;
 mod pipelined;
+mod shrunk;
 
 use std::env;
 use std::path::Path;
@@ -33,17 +34,19 @@
     let args: Vec<String> = env::args().skip(1).collect();
     let words: Vec<&str> = args.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["worker", addr, agent, id, service, zone, labels, cpu] => worker::run(worker::Settings {
-            addr: addr.parse().expect("an address"),
-            agent: agent.parse().expect("an address"),
-            id: (*id).to_owned(),
-            service: (*service).to_owned(),
-            zone: (*zone).to_owned(),
-            labels: labels.split(',').map(str::to_owned).collect(),
-            cpu: cpu.parse().expect("a number"),
-            mem_mb: 65_536,
-            guards: true,
-        }),
+        ["worker", addr, agent, id, service, zone, labels, cpu, guards] => {
+            worker::run(worker::Settings {
+                addr: addr.parse().expect("an address"),
+                agent: agent.parse().expect("an address"),
+                id: (*id).to_owned(),
+                service: (*service).to_owned(),
+                zone: (*zone).to_owned(),
+                labels: labels.split(',').map(str::to_owned).collect(),
+                cpu: cpu.parse().expect("a number"),
+                mem_mb: 65_536,
+                guards: *guards == "true",
+            })
+        }
         [scenario, record, dir] => exit(play(scenario, Path::new(record), Path::new(dir))),
         _ => exit(2),
     }
@@ -52,18 +55,20 @@
 fn play(scenario: &str, record: &Path, dir: &Path) -> i32 {
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = lab::Record::open(record);
+    let guards = scenario != "shrunk";
     let scenario = match scenario {
         "cancelled" => cancelled::play,
         "overtaken" => overtaken::play,
         "pipelined" => pipelined::play,
+        "shrunk" => shrunk::play,
         _ => return 2,
     };
     let dir = dir.to_owned();
     let (tx, rx) = std::sync::mpsc::channel();
     let recording = record.clone();
     thread::spawn(move || {
-        let verdict = match lab::Lab::open_small(&dir, recording) {
-            Some(lab) => scenario(&lab, trouble),
+        let verdict = match lab::Lab::open_small(&dir, recording, guards) {
+            Some(mut lab) => scenario(&mut lab, trouble),
             None => Verdict::CouldNotRun("the entries aren't ready".to_owned()),
         };
         let _ = tx.send(verdict);
--- a/review/standins/overtaken.rs
+++ b/review/standins/overtaken.rs
@@ -25,7 +25,7 @@
 const SUBMITTED_AT: Duration = Duration::from_millis(10);
 const CANCELLED_AT: Duration = Duration::from_millis(30);
 
-pub fn play(lab: &Lab, trouble: bool) -> Verdict {
+pub fn play(lab: &mut Lab, trouble: bool) -> Verdict {
     let entry = &lab.entries[0];
     let mut cancelled = Vec::new();
     for n in 0..JOBS {
--- a/review/standins/pipelined.rs
+++ b/review/standins/pipelined.rs
@@ -89,7 +89,7 @@
     }
 }
 
-pub fn play(lab: &Lab, trouble: bool) -> Verdict {
+pub fn play(lab: &mut Lab, trouble: bool) -> Verdict {
     let entries = [lab.entries[0].callers, lab.entries[1].callers];
     let callers = (0..CALLERS).map(|n| {
         let record = lab.record.clone();
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -4,7 +4,9 @@
 //! run that begins or ends. A task's `spec` says how long it works and what it needs, such as `ms=900 cpu=3100`.
 
 use std::collections::BTreeMap;
+use std::io::BufRead;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -61,6 +63,8 @@
 
 struct Worker {
     cfg: Settings,
+    /// Its room, which may shrink and grow while it runs.
+    cpu: AtomicU64,
     began: Instant,
     state: Mutex<State>,
     ended: Condvar,
@@ -84,6 +88,7 @@
 pub fn run(cfg: Settings) {
     let listener = bind(cfg.addr);
     let worker = Arc::new(Worker {
+        cpu: AtomicU64::new(cfg.cpu),
         cfg,
         began: Instant::now(),
         state: Mutex::default(),
@@ -96,6 +101,8 @@
         ending.end_due();
         thread::sleep(Duration::from_millis(2));
     });
+    let sized = worker.clone();
+    thread::spawn(move || sized.follow_room());
     let mut seq = 0;
     loop {
         seq += 1;
@@ -120,15 +127,26 @@
         FIRST_CLOCK_MS + self.began.elapsed().as_millis() as u64
     }
 
+    /// Takes each line of standard input as the new room.
+    fn follow_room(&self) {
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            if let Ok(cpu) = line.trim().parse() {
+                self.cpu.store(cpu, Ordering::SeqCst);
+                println!("room {} {} {cpu}", epoch_us(), self.cfg.id);
+            }
+        }
+    }
+
     fn announce(&self, seq: u64) {
         let cfg = &self.cfg;
+        let cpu = self.cpu.load(Ordering::SeqCst);
         let labels: Vec<Json> = cfg
             .labels
             .iter()
             .map(|label| label.as_str().into())
             .collect();
         let capacity = map([
-            ("cpu", cfg.cpu.into()),
+            ("cpu", cpu.into()),
             ("mem_mb", cfg.mem_mb.into()),
             ("gpu", 0.into()),
         ]);
@@ -154,12 +172,8 @@
             &[("host", "agent")],
             &body.to_string(),
         );
-        println!(
-            "beat {} {} {:?}",
-            epoch_us(),
-            cfg.id,
-            sent.map(|answer| answer.status).ok()
-        );
+        let status = sent.map_or(0, |answer| answer.status);
+        println!("beat {} {} {status} {cpu}", epoch_us(), cfg.id);
     }
 
     fn end_due(&self) {
@@ -243,7 +257,7 @@
             return self.refusal("late");
         }
         let used: u64 = state.running.values().map(|run| run.cpu).sum();
-        if self.cfg.guards && used + cpu > self.cfg.cpu {
+        if self.cfg.guards && used + cpu > self.cpu.load(Ordering::SeqCst) {
             return self.refusal("room");
         }
         println!(
