review: exit with 2 where a script of a case can't be played

Cause: a caller that couldn't connect, or a cancelling without an acknowledgement, ended a script with 0, as if the rule had held.

Change: these scripts exit with 2.

--- a/review/standins/cancelled.rs
+++ b/review/standins/cancelled.rs
@@ -51,5 +51,8 @@
     for caller in callers {
         let _ = caller.join();
     }
+    if trouble && cancelled.len() < CANCELLED.len() {
+        return Verdict::CouldNotRun("a cancelling wasn't acknowledged".to_owned());
+    }
     lab.judge_cancelled(&cancelled)
 }
--- a/review/standins/overtaken.rs
+++ b/review/standins/overtaken.rs
@@ -79,6 +79,9 @@
             .note(format!("caller {n}: the POST is answered with {answer:?}"));
         thread::sleep(Duration::from_millis(300));
     }
+    if cancelled.is_empty() {
+        return Verdict::CouldNotRun("no cancelling was acknowledged".to_owned());
+    }
     thread::sleep(Duration::from_millis(lab::LONGEST_WORK_MS + 500));
     lab.judge_cancelled(&cancelled)
 }
--- a/review/standins/pipelined.rs
+++ b/review/standins/pipelined.rs
@@ -125,8 +125,9 @@
         thread::spawn(move || submit(n, entries, behind, is_reset, &record))
     });
     let callers: Vec<_> = callers.collect();
-    for caller in callers {
-        let _ = caller.join();
+    let failed = callers.into_iter().filter_map(|caller| caller.join().err());
+    if failed.count() > 0 {
+        return Verdict::CouldNotRun("a caller couldn't reach the entry".to_owned());
     }
     let overlaps = lab.record.overlaps(SLACK);
     for (one, other) in &overlaps {
