review: a reset of connections runs tasks twice

A start and a stop of one run that an entry decides in one turn leave in one message, and the agent carries out the stops of a message first. The run then begins, and nothing stops it. Three connections of clients that are reset together are enough: two jobs start as the job before them leaves the queue, and run on while their clients hand them in again elsewhere.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Connections of clients are reset while their jobs wait for room; they hand the jobs in again at another entry. Exits
+# with 1 if a task ran twice at the same time, 0 if none did, and 2 if the case couldn't run. TROUBLE=0 leaves the resets
+# out.
+set -u
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+temporary=$(mktemp -d) || exit 2
+trap 'rm -rf "$temporary"' EXIT
+CASE_TEMPORARY="$temporary" timeout -k 2 116 target/review-2/standins reset "$here"
+code=$?
+[[ $code == 0 || $code == 1 ]] || code=2
+exit "$code"
