review: drop two cases that earlier ones show; a cancelled job runs again

The submitter of a job that is cancelled is answered 504, after which callers submit again by the users' pages. No entry remembers that the job was cancelled, so it runs whole.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,8 +3,6 @@
 //! `standins CASE FOLDER` plays a case, writes `record.txt` into the folder and exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
-mod astray;
-mod cancel;
 mod client;
 mod clock;
 mod deployment;
@@ -12,6 +10,7 @@
 mod http;
 mod json;
 mod proxy;
+mod resent;
 mod reset;
 mod store;
 mod system;
@@ -72,9 +71,8 @@
         trouble: env::var("TROUBLE").map_or(true, |trouble| trouble != "0"),
     };
     match case.as_str() {
-        "astray" => astray::play(&stage),
-        "cancel" => cancel::play(&stage),
         "freeze" => freeze::play(&stage),
+        "resent" => resent::play(&stage),
         "reset" => reset::play(&stage),
         _ => Err(io::Error::other("no such case")),
     }
--- a/review/standins-2/proxy.rs
+++ b/review/standins-2/proxy.rs
@@ -15,19 +15,12 @@
 
 /// A running proxy; clones share its connections.
 #[derive(Clone, Default)]
-pub struct Proxy {
-    pairs: Arc<Mutex<Vec<Pair>>>,
-    /// Whether a connection is reset when a DELETE comes on it.
-    resets_deletes: bool,
-}
+pub struct Proxy(Arc<Mutex<Vec<Pair>>>);
 
 impl Proxy {
     /// Forwards connections from `addr` to `to` until the program ends.
-    pub fn open(addr: SocketAddr, to: SocketAddr, resets_deletes: bool) -> io::Result<Proxy> {
-        let proxy = Proxy {
-            resets_deletes,
-            ..Proxy::default()
-        };
+    pub fn open(addr: SocketAddr, to: SocketAddr) -> io::Result<Proxy> {
+        let proxy = Proxy::default();
         let listener = TcpListener::bind(addr)?;
         let forwarding = proxy.clone();
         thread::spawn(move || {
@@ -44,21 +37,20 @@
         server.set_nodelay(true)?;
         let (from_client, to_server) = (client.try_clone()?, server.try_clone()?);
         let (from_server, to_client) = (server.try_clone()?, client.try_clone()?);
-        let refused: &[u8] = if self.resets_deletes { b"DELETE" } else { b"" };
-        thread::spawn(move || copy(from_client, to_server, refused));
-        thread::spawn(move || copy(from_server, to_client, b""));
-        self.pairs.lock().unwrap().push((client, server));
+        thread::spawn(move || copy(from_client, to_server));
+        thread::spawn(move || copy(from_server, to_client));
+        self.0.lock().unwrap().push((client, server));
         Ok(())
     }
 
     /// Returns how many connections were opened so far.
     pub fn connections(&self) -> usize {
-        self.pairs.lock().unwrap().len()
+        self.0.lock().unwrap().len()
     }
 
     /// Resets both sides of these connections, which are numbered from 0 in the order of their opening.
     pub fn reset(&self, numbers: &[usize]) {
-        let pairs = self.pairs.lock().unwrap();
+        let pairs = self.0.lock().unwrap();
         let pairs: Vec<&Pair> = numbers
             .iter()
             .filter_map(|number| pairs.get(*number))
@@ -72,15 +64,9 @@
     }
 }
 
-/// Copies until one side ends. Resets both where bytes begin with `refused`.
-fn copy(mut from: TcpStream, mut to: TcpStream, refused: &[u8]) {
+fn copy(mut from: TcpStream, mut to: TcpStream) {
     let mut buf = [0; 16 * 1024];
     while let Ok(length) = from.read(&mut buf) {
-        if !refused.is_empty() && buf[..length].starts_with(refused) {
-            abort(&to);
-            abort(&from);
-            return;
-        }
         if length == 0 || to.write_all(&buf[..length]).is_err() {
             break;
         }
--- a/review/standins-2/reset.rs
+++ b/review/standins-2/reset.rs
@@ -78,7 +78,7 @@
 pub fn play(stage: &Stage) -> io::Result<Verdict> {
     let deployment = Deployment::open(stage, ENTRIES, WORKERS)?;
     let proxied = SocketAddr::new(deployment.entries[0].ip, PROXY_PORT);
-    let proxy = Proxy::open(proxied, deployment.entries[0].callers(), false)?;
+    let proxy = Proxy::open(proxied, deployment.entries[0].callers())?;
     for round in 0..ROUNDS {
         let before = proxy.connections();
         let clients = hand_in(&deployment, proxied, round);
