Handle an entry's message in one function of the agent's decisions

The agent's link, the fault simulation and the load simulation each had their own order of the parts of a message. The simulations now play the order that is shipped. No change in what an agent does.

--- a/src/besteffort/agent/link.rs
+++ b/src/besteffort/agent/link.rs
@@ -184,24 +184,9 @@
 
 impl LinkSession {
     fn handle_message(&mut self, message: EntryMessage) {
+        self.starts_read += message.starts.len() as u64;
         let now = clock::since_boot();
-        let changed = {
-            let mut slots = mutex::lock(&self.inner.slots);
-            let changed = message
-                .evacuation
-                .is_some_and(|state| slots.update_evacuation(now, state));
-            let fresh = slots.message_received(now, &self.name, message.seen_ms);
-            for run in &message.stops {
-                slots.withdraw(now, &self.name, run);
-            }
-            for start in message.starts {
-                self.starts_read += 1;
-                slots.start_requested(now, &self.name, fresh, start);
-            }
-            slots.update_statement(&self.name, message.demand);
-            slots.update_waiting_work(now, &self.name, message.seen_ms, message.waiting);
-            changed
-        };
+        let changed = mutex::lock(&self.inner.slots).handle_message(now, &self.name, message);
         send_orders(&self.inner);
         if changed {
             wake_all_links(&self.inner);
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 
 use crate::decide::besteffort::message::{
-    AgentMessage, EntryIncarnation, Hello, Progress, Run, RunOutcome, Start,
+    AgentMessage, EntryIncarnation, EntryMessage, Hello, Progress, Run, RunOutcome, Start,
 };
 use crate::decide::besteffort::sharing;
 use crate::decide::besteffort::slots::{millis, Entry, HeldRun, Slots, State};
@@ -48,6 +48,29 @@
         }
     }
 
+    /// Handles a message of an entry: the evacuation of the failure domain, its stops and starts, and what waits
+    /// there. Returns whether the failure domain was evacuated or taken back, which all entries are told of.
+    pub fn handle_message(
+        &mut self,
+        now: time::Duration,
+        name: &EntryIncarnation,
+        message: EntryMessage,
+    ) -> bool {
+        let evacuation_changed = message
+            .evacuation
+            .is_some_and(|state| self.update_evacuation(now, state));
+        let fresh = self.message_received(now, name, message.seen_ms);
+        for run in &message.stops {
+            self.withdraw(now, name, run);
+        }
+        for start in message.starts {
+            self.start_requested(now, name, fresh, start);
+        }
+        self.update_statement(name, message.demand);
+        self.update_waiting_work(now, name, message.seen_ms, message.waiting);
+        evacuation_changed
+    }
+
     /// Handles a message of an entry that repeats the agent's clock as `seen_ms`, which proves when the entry
     /// last heard the agent. Returns whether the message is recent enough for its starts to be carried out.
     pub fn message_received(
--- a/tests/besteffort_load/links.rs
+++ b/tests/besteffort_load/links.rs
@@ -162,19 +162,9 @@
         }
         let (now, sender) = (at(self.now), self.names[e].clone());
         let agent = &mut self.agents[a];
-        let is_recent = agent.slots.message_received(now, &sender, message.seen_ms);
-        for run in &message.stops {
-            agent.slots.withdraw(now, &sender, run);
-        }
         let is_heartbeat = message.starts.is_empty() && message.stops.is_empty();
-        for start in message.starts {
-            agent.starts_read[e] += 1;
-            agent.slots.start_requested(now, &sender, is_recent, start);
-        }
-        agent.slots.update_statement(&sender, message.demand);
-        agent
-            .slots
-            .update_waiting_work(now, &sender, message.seen_ms, message.waiting);
+        agent.starts_read[e] += message.starts.len() as u64;
+        agent.slots.handle_message(now, &sender, message);
         if is_heartbeat {
             self.send_from_agent(e, a);
         }
--- a/tests/besteffort_sim/world/links.rs
+++ b/tests/besteffort_sim/world/links.rs
@@ -142,16 +142,8 @@
             Line::ToAgent(line) if link.agent_open => {
                 link.heard.0 = self.now;
                 let name = name.expect("the agent's side is open");
-                let slots = &mut self.agents[a].slots;
-                let fresh = slots.message_received(now_agent, &name, line.seen_ms);
-                for run in &line.stops {
-                    slots.withdraw(now_agent, &name, run);
-                }
-                for start in line.starts {
-                    link.taken += 1;
-                    slots.start_requested(now_agent, &name, fresh, start);
-                }
-                slots.update_waiting_work(now_agent, &name, line.seen_ms, line.waiting);
+                link.taken += line.starts.len() as u64;
+                self.agents[a].slots.handle_message(now_agent, &name, *line);
                 self.flush_agent(a);
             }
             Line::ToEntry(line) if link.entry_open => {
