Log and count stops that name a run which the agent doesn't hold

An agent passed over such a stop without a word, so that its log couldn't tell a stop that was lost, one that was refused and one that came before its start. The line says how many starts came in the same message.

--- a/src/decide/besteffort/slots/counts.rs
+++ b/src/decide/besteffort/slots/counts.rs
@@ -32,6 +32,9 @@
     pub starts: BTreeMap<&'static str, u64>,
     /// Stops sent, including those sent again.
     pub stops: u64,
+    /// Stops of entries that named a run which the agent doesn't hold. A few are normal, since a run may end
+    /// while its stop is under way.
+    pub stops_unmatched: u64,
     /// How often runs were lost because the lease ran out or another incarnation of the backend server
     /// answered, by cause.
     pub leases_lost: BTreeMap<&'static str, u64>,
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -61,7 +61,12 @@
             .is_some_and(|state| self.update_evacuation(now, state));
         let fresh = self.message_received(now, name, message.seen_ms);
         for run in &message.stops {
-            self.withdraw(now, name, run);
+            if !self.withdraw(now, name, run) {
+                self.counts.stops_unmatched += 1;
+                log::info!(job = run.job.as_str(), task = run.task, run = run.number,
+                    entry = name.entry.as_str(), starts = message.starts.len();
+                    "stop names a run that isn't held");
+            }
         }
         for start in message.starts {
             self.start_requested(now, name, fresh, start);
@@ -125,12 +130,14 @@
         self.dispatch_waiting(now);
     }
 
-    /// Handles an entry's request to end its run.
-    pub fn withdraw(&mut self, now: time::Duration, name: &EntryIncarnation, run: &Run) {
-        if self.held.get(run).is_some_and(|held| held.entry == *name) {
+    /// Handles an entry's request to end its run. Returns whether the agent holds that run.
+    pub fn withdraw(&mut self, now: time::Duration, name: &EntryIncarnation, run: &Run) -> bool {
+        let is_held = self.held.get(run).is_some_and(|held| held.entry == *name);
+        if is_held {
             self.require_end(now, run);
             self.dispatch_waiting(now);
         }
+        is_held
     }
 
     /// Composes the next message to an entry: free room, ends, crashes and the progress of its runs. What is
