Carry out a stop after the start that came in the same message

Cause: an entry's message has a list of starts and a list of stops, and the agent went through the stops first. A stop of a run whose start was in the same message found nothing, and the start then began a run that no entry had any more.

Change: a start that a stop of the same message names is held, not dispatched, and its stop returns it as not run. Since run numbers are used once, such a stop is never for an earlier run. The other starts still follow the stops, which may make room for them.

Tests: a_start_that_its_own_message_stops_never_begins fails without the change (both stopped runs are begun). In the simulation a caller that is away no longer leaves a second time when its patience ends, which submitted its job twice.

--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -60,15 +60,20 @@
             .evacuation
             .is_some_and(|state| self.update_evacuation(now, state));
         let fresh = self.message_received(now, name, message.seen_ms);
+        let mut starts = message.starts;
         for run in &message.stops {
+            // A stop comes after its start, also where both are in one message.
+            if let Some(index) = starts.iter().position(|start| start.run == *run) {
+                self.hold_start(now, name, starts.remove(index));
+            }
             if !self.withdraw(now, name, run) {
                 self.counts.stops_unmatched += 1;
                 log::info!(job = run.job.as_str(), task = run.task, run = run.number,
-                    entry = name.entry.as_str(), starts = message.starts.len();
+                    entry = name.entry.as_str(), starts = starts.len();
                     "stop names a run that isn't held");
             }
         }
-        for start in message.starts {
+        for start in starts {
             self.start_requested(now, name, fresh, start);
         }
         self.update_statement(name, message.demand);
@@ -102,10 +107,26 @@
         fresh: bool,
         start: Start,
     ) {
-        if self.held.contains_key(&start.run) {
+        let run = start.run.clone();
+        let need = start.need;
+        if !self.hold_start(now, name, start) {
             return;
         }
-        let run = start.run.clone();
+        if !self.backend.size.fits(&need) {
+            self.end_run(now, &run, RunOutcome::NotRun);
+        } else if !fresh {
+            log::warn!(job = run.job.as_str(), task = run.task, run = run.number, entry = name.entry.as_str();
+                "start came too late to act on");
+            self.end_run(now, &run, RunOutcome::NotRun);
+        }
+        self.dispatch_waiting(now);
+    }
+
+    /// Lets a start wait for room. Returns whether it is new: a run that the agent already holds stays as it is.
+    fn hold_start(&mut self, now: time::Duration, name: &EntryIncarnation, start: Start) -> bool {
+        if self.held.contains_key(&start.run) {
+            return false;
+        }
         let held = HeldRun {
             entry: name.clone(),
             state: State::Waiting,
@@ -116,18 +137,10 @@
             percent_at: now,
             start,
         };
-        let need = held.start.need;
-        self.use_loan(name, &need);
+        self.use_loan(name, &held.start.need);
         self.waiting.insert(held.queue_key());
-        self.held.insert(run.clone(), held);
-        if !self.backend.size.fits(&need) {
-            self.end_run(now, &run, RunOutcome::NotRun);
-        } else if !fresh {
-            log::warn!(job = run.job.as_str(), task = run.task, run = run.number, entry = name.entry.as_str();
-                "start came too late to act on");
-            self.end_run(now, &run, RunOutcome::NotRun);
-        }
-        self.dispatch_waiting(now);
+        self.held.insert(held.start.run.clone(), held);
+        true
     }
 
     /// Handles an entry's request to end its run. Returns whether the agent holds that run.
--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -122,6 +122,14 @@
     assert!(found.is_empty(), "{found:?}");
 }
 
+/// Guards against two runs of a task whose start and stop go to the agent in one message, as when callers leave an entry
+/// that is busy, with several entries, links that end in between and starts that are sent twice.
+#[test]
+fn no_task_runs_twice_where_callers_leave_busy_entries() {
+    let found = doubles(Guards::default(), Faults::callers_leave_busy_entries());
+    assert!(found.is_empty(), "{found:?}");
+}
+
 /// Shows that the search above meets what it looks for: backend servers that carry out a start although the run, or a
 /// later one of its task, has ended there.
 #[test]
--- a/tests/besteffort_sim/net.rs
+++ b/tests/besteffort_sim/net.rs
@@ -28,4 +28,6 @@
     /// When each side heard the other last.
     pub heard: (Ms, Ms),
     pub taken: u64,
+    /// What a busy entry has for the agent and hasn't written yet.
+    pub outgoing: Option<EntryMessage>,
 }
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -155,6 +155,8 @@
     EntryTick(usize, u64),
     Line(usize, usize, u64, Line),
     Connect(usize, usize),
+    /// A busy entry writes to an agent, on the link with this number.
+    Write(usize, usize, u64),
     /// An entry reads the row in which an agent's life tells of a crash.
     CrashRow(usize, usize, u64, Crash),
     /// The agent, its life, the backend server's life that it left for, the order, whether it is answered.
@@ -362,6 +364,7 @@
             | Event::Connect(_, a) => &self.agents[*a].process,
             Event::EntryTick(e, _)
             | Event::CrashRow(e, ..)
+            | Event::Write(e, ..)
             | Event::Line(e, _, _, Line::ToEntry(_)) => &self.entries[*e].process,
             Event::Left(e, _) => &self.entries[*e].process,
             _ => return None,
@@ -384,6 +387,7 @@
             Event::EntryTick(e, life) => self.entry_tick(e, life),
             Event::Line(e, a, link, line) => self.line(e, a, link, line),
             Event::Connect(e, a) => self.connect(e, a),
+            Event::Write(e, a, link) => self.write_outgoing(e, a, link),
             Event::CrashRow(e, a, life, crash) => self.read_crash(e, a, life, &crash),
             Event::Order(a, life, to, order, answered) => self.order(a, life, to, order, answered),
             Event::Resent(a, life, order) => self.resent(a, life, order),
--- a/tests/besteffort_sim/world/callers.rs
+++ b/tests/besteffort_sim/world/callers.rs
@@ -62,7 +62,7 @@
     /// soon as it is awake.
     pub(super) fn caller_gone(&mut self, index: usize, tries: u64) {
         let job = &mut self.jobs[index];
-        if job.over || job.tries != tries {
+        if job.over || job.away || job.tries != tries {
             return;
         }
         job.away = true;
--- a/tests/besteffort_sim/world/faults.rs
+++ b/tests/besteffort_sim/world/faults.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::server::{Ms, Server};
-use crate::world::{ms, Event, World, AGENTS, DRAIN, END, ENTRIES, PATIENCE};
+use crate::world::{ms, Event, Job, World, AGENTS, DRAIN, END, ENTRIES, PATIENCE};
 
 /// What may go wrong, at an entry, an agent, a backend server or a link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,6 +28,8 @@
     Reset,
     /// An entry reads that an agent isn't listed any more, or is again.
     Relist,
+    /// Connections of callers to an entry are reset together.
+    ResetCallers,
 }
 
 /// Room of a small backend server, in thousandths of a core.
@@ -76,6 +78,16 @@
     Kind::Relist,
 ];
 
+const CALLERS_LEAVE: [Kind; 7] = [
+    Kind::ResetCallers,
+    Kind::ResetCallers,
+    Kind::ResetCallers,
+    Kind::FreezeEntry,
+    Kind::FreezeAgent,
+    Kind::Cut,
+    Kind::Reset,
+];
+
 const RESIZES: [Kind; 10] = [
     Kind::FreezeEntry,
     Kind::FreezeAgent,
@@ -112,6 +124,8 @@
     pub(super) picks: bool,
     /// Whether a start without an answer is sent once more.
     pub(super) resends: bool,
+    /// Whether entries write to agents some time after they have decided, all that there is by then in one message.
+    pub(super) busy_entries: bool,
 }
 
 /// What becomes of orders that are carried out seconds late where the life that they left for is dead.
@@ -139,6 +153,7 @@
             small: false,
             picks: false,
             resends: false,
+            busy_entries: false,
         }
     }
 }
@@ -269,6 +284,18 @@
         }
     }
 
+    /// Callers that leave busy entries together, beside faults of links and agents and starts that are sent twice.
+    pub fn callers_leave_busy_entries() -> Faults {
+        Faults {
+            every: 100,
+            kinds: &CALLERS_LEAVE,
+            held_back: HeldBack::Dead,
+            resends: true,
+            busy_entries: true,
+            ..Faults::default()
+        }
+    }
+
     /// Agents that are suspended again and again for less than a lease, and entries that die.
     pub fn naps() -> Faults {
         Faults {
@@ -319,6 +346,7 @@
             }
             Kind::Reset => self.reset(e, a),
             Kind::Relist => self.relist(e, a),
+            Kind::ResetCallers => self.reset_callers(e),
         }
     }
 
@@ -424,6 +452,18 @@
         }
     }
 
+    /// Half of an entry's callers lose their connections, and submit their jobs again.
+    fn reset_callers(&mut self, e: usize) {
+        let waits = |job: &Job| job.entry == e && !job.over && !job.away;
+        let waiting = self.jobs.iter().enumerate().filter(|(_, job)| waits(job));
+        let waiting: Vec<(usize, u64)> = waiting.map(|(index, job)| (index, job.tries)).collect();
+        for (index, tries) in waiting {
+            if self.rng.random_bool(0.5) {
+                self.caller_gone(index, tries);
+            }
+        }
+    }
+
     fn hold(&mut self, e: usize, a: usize, long: Ms, to_agent: bool, to_entry: bool) {
         if let Some(link) = self.links.get_mut(&(e, a)) {
             if to_agent {
--- a/tests/besteffort_sim/world/links.rs
+++ b/tests/besteffort_sim/world/links.rs
@@ -10,6 +10,10 @@
 use crate::server::Ms;
 use crate::world::{Event, World};
 
+/// Longest time between two messages of a busy entry: less than a machine stands still that has used up its share of the
+/// processor.
+const LONGEST_COMPOSING: Ms = 80;
+
 fn agent_name(a: usize) -> String {
     format!("agent-{a}")
 }
@@ -106,7 +110,36 @@
         self.at(at, Event::Line(e, a, number, Line::ToEntry(Box::new(line))));
     }
 
-    pub(super) fn entry_says(&mut self, e: usize, a: usize, mut line: EntryMessage) {
+    /// An entry tells an agent something; a busy one writes it later, together with what it has for the agent by then.
+    pub(super) fn entry_says(&mut self, e: usize, a: usize, line: EntryMessage) {
+        if !self.faults.busy_entries {
+            self.write_line(e, a, line);
+            return;
+        }
+        let Some(link) = self.links.get_mut(&(e, a)).filter(|link| link.entry_open) else {
+            return;
+        };
+        let number = link.number;
+        if let Some(outgoing) = &mut link.outgoing {
+            outgoing.starts.extend(line.starts);
+            outgoing.stops.extend(line.stops);
+            return;
+        }
+        link.outgoing = Some(line);
+        let delay = self.rng.random_range(0..LONGEST_COMPOSING);
+        self.at(self.now + delay, Event::Write(e, a, number));
+    }
+
+    /// A busy entry writes what it has for an agent.
+    pub(super) fn write_outgoing(&mut self, e: usize, a: usize, number: u64) {
+        let link = self.links.get_mut(&(e, a));
+        let link = link.filter(|link| link.number == number);
+        if let Some(line) = link.and_then(|link| link.outgoing.take()) {
+            self.write_line(e, a, line);
+        }
+    }
+
+    fn write_line(&mut self, e: usize, a: usize, mut line: EntryMessage) {
         let delay = self.rng.random_range(1..3);
         let Some(link) = self.links.get_mut(&(e, a)).filter(|link| link.entry_open) else {
             return;
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -7,7 +7,7 @@
 
 use lovagemill::decide::besteffort::lease::{self, Bounds};
 use lovagemill::decide::besteffort::message::{
-    EntryIncarnation, Room, Run, RunOutcome, ServerIncarnation, Start,
+    EntryIncarnation, EntryMessage, Room, Run, RunOutcome, ServerIncarnation, Start,
 };
 use lovagemill::decide::besteffort::slots::{
     CheckResult, Listing, Order, Recipient, Slots, StartAnswer,
@@ -200,6 +200,33 @@
     assert_eq!(slots.take_orders(), []);
 }
 
+/// Guards against a run that goes on without its entry: its start and its stop came in one message, and the stop was
+/// carried out first.
+#[test]
+fn a_start_that_its_own_message_stops_never_begins() {
+    let mut slots = open();
+    let message = EntryMessage {
+        seen_ms: START,
+        starts: (0..3)
+            .map(|task| start(run(task, u64::from(task) + 1), START))
+            .collect(),
+        stops: vec![run(0, 1), run(1, 2)],
+        ..EntryMessage::default()
+    };
+    slots.handle_message(ms(START), &entry(1), message);
+    let orders = slots.take_orders();
+    assert!(
+        matches!(&orders[..], [Order::Start { run: begun, .. }] if *begun == run(2, 3)),
+        "{orders:?}"
+    );
+    let not_run = [
+        (run(0, 1), RunOutcome::NotRun),
+        (run(1, 2), RunOutcome::NotRun),
+    ];
+    assert_eq!(ends(&mut slots, START), not_run);
+    assert_eq!(slots.counts.stops_unmatched, 0);
+}
+
 /// Guards against starts on a full backend server: one that checks its room refuses them, another one is
 /// overloaded. Room is freed only when an end is listed, also that of a stopped run.
 #[test]
