Void what lies unread on a link once the entry's next link is registered

What callers would see: a task runs twice. Found by reading, in a search for orders that are carried out in another order than they were made; no caller has reported it.

Cause: the hello on a new link lists the entry's runs, and the entry starts all others elsewhere. The link before was only notified to close, and a message that lay unread there was read or not by chance. A start in it began a run after the hello had said that it isn't there. In the other direction, ends and loans could be written to the link before.

Evidence: a_start_on_a_replaced_link_never_begins, with a running agent that finds the hello and the start in its sockets at once.

Change: a link's session fails unless its link is the registered one, checked under the lock of the decisions, so that all it does comes before the hello on a later link.

--- a/src/besteffort/agent/link.rs
+++ b/src/besteffort/agent/link.rs
@@ -142,10 +142,11 @@
     let mut session = LinkSession {
         inner: inner.clone(),
         name,
+        number,
         sent_backend: Backend::default(),
         starts_read: 0,
     };
-    let mut message = session.next_message();
+    let mut message = session.next_message()?;
     message.hello = Some(hello);
     writer.write(&message).await?;
     let mut heard_at = clock::since_boot();
@@ -156,7 +157,7 @@
             () = link.close.notified() => return Ok(()),
             message = reader.read::<EntryMessage>() => {
                 heard_at = clock::since_boot();
-                session.handle_message(message?);
+                session.handle_message(message?)?;
                 written_at.elapsed() > heartbeat.mul_f64(ANSWER_AFTER_HEARTBEATS)
             }
             () = link.wake.notified() => true,
@@ -168,7 +169,7 @@
             }
         };
         if must_write {
-            writer.write(&session.next_message()).await?;
+            writer.write(&session.next_message()?).await?;
             written_at = Instant::now();
         }
     }
@@ -178,25 +179,43 @@
 struct LinkSession {
     inner: Arc<Inner>,
     name: EntryIncarnation,
+    number: u64,
     sent_backend: Backend,
     starts_read: u64,
 }
 
 impl LinkSession {
-    fn handle_message(&mut self, message: EntryMessage) {
+    /// Handles a message of the entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a later link of the entry is registered. The hello on that link has told the entry which runs
+    /// are here; it starts the others elsewhere, so that none of them may begin any more.
+    fn handle_message(&mut self, message: EntryMessage) -> io::Result<()> {
         self.starts_read += message.starts.len() as u64;
         let now = clock::since_boot();
-        let changed = mutex::lock(&self.inner.slots).handle_message(now, &self.name, message);
+        let changed = {
+            let mut slots = mutex::lock(&self.inner.slots);
+            self.require_registered()?;
+            slots.handle_message(now, &self.name, message)
+        };
         send_orders(&self.inner);
         if changed {
             wake_all_links(&self.inner);
         } else {
             wake_links_with_unsent(&self.inner);
         }
+        Ok(())
     }
 
-    fn next_message(&mut self) -> AgentMessage {
+    /// Composes the next message to the entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a later link of the entry is registered, on which the entry expects what is unsent.
+    fn next_message(&mut self) -> io::Result<AgentMessage> {
         let mut slots = mutex::lock(&self.inner.slots);
+        self.require_registered()?;
         let mut message = slots.next_message(&self.name, clock::since_boot());
         message.starts_read = self.starts_read;
         let backend = slots.advertised_backend();
@@ -204,6 +223,18 @@
             self.sent_backend = backend.clone();
             message.backend = Some(backend);
         }
-        message
+        Ok(message)
+    }
+
+    /// Fails unless this is the registered link of the entry. The caller has locked the slots, so that what it does
+    /// next comes before the hello on any later link.
+    fn require_registered(&self) -> io::Result<()> {
+        let links = mutex::lock(&self.inner.links);
+        let registered = links.get(&self.name).map(|link| link.number);
+        if registered == Some(self.number) {
+            Ok(())
+        } else {
+            Err(io::Error::other("a later link of the entry is up"))
+        }
     }
 }
--- a/tests/besteffort_agent.rs
+++ b/tests/besteffort_agent.rs
@@ -434,6 +434,38 @@
     });
 }
 
+/// Guards against two runs of one task: the entry learns on its next link that the agent doesn't have a run, and the
+/// agent then reads the start of that run on the link before. Which of the two the agent reads first varies.
+#[test]
+fn a_start_on_a_replaced_link_never_begins() {
+    support::block_on_one_thread(async {
+        let Linked {
+            calls,
+            agent,
+            mut entry,
+        } = linked(LONG_BOUND).await;
+        for link in 2..=20 {
+            let mut next = FakeEntry::dial(agent.link_addr()).await;
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+            // The agent doesn't run between these two writes, and finds both in its sockets.
+            next.introduce(1, link).await;
+            entry.start(run("replaced", 0, link)).await;
+            let hello = next.read().await.hello.expect("the first message");
+            next.start(run("next", 0, link)).await;
+            loop {
+                let (begun, answer) = calls.start().await;
+                let is_known = hello.runs.contains(&begun);
+                assert!(is_known || begun.job == "next", "{begun:?} after {hello:?}");
+                answer.send(StartAnswer::Refused).expect("the agent waits");
+                if begun.job == "next" {
+                    break;
+                }
+            }
+            entry = next;
+        }
+    });
+}
+
 /// Guards against an older link that was held back by the network and replaces the one in use.
 #[test]
 fn an_older_link_of_an_entry_does_not_replace_a_later_one() {
--- a/tests/support/besteffort.rs
+++ b/tests/support/besteffort.rs
@@ -241,13 +241,25 @@
         incarnation: u64,
         link: u64,
     ) -> (FakeEntry, AgentMessage) {
+        let mut entry = FakeEntry::dial(addr).await;
+        entry.introduce(incarnation, link).await;
+        let hello = entry.read().await;
+        (entry, hello)
+    }
+
+    /// Opens a connection to an agent, on which the entry hasn't named itself yet.
+    pub async fn dial(addr: SocketAddr) -> FakeEntry {
         let stream = TcpStream::connect(addr).await.expect("the agent listens");
         let (reader, writer) = line::open(stream).expect("a socket");
-        let mut entry = FakeEntry {
+        FakeEntry {
             reader,
             writer,
             seen_ms: 0,
-        };
+        }
+    }
+
+    /// Names the entry, in the first message of a link.
+    pub async fn introduce(&mut self, incarnation: u64, link: u64) {
         let name = EntryIncarnation {
             entry: "entry".into(),
             incarnation,
@@ -257,9 +269,7 @@
             link,
             ..EntryMessage::default()
         };
-        entry.writer.write(&first).await.expect("the link is up");
-        let hello = entry.read().await;
-        (entry, hello)
+        self.writer.write(&first).await.expect("the link is up");
     }
 
     /// Waits until the agent has closed the link.
