Stop runs that agents report and their entry doesn't have

Cause: what an agent holds and what an entry counts on were compared only when a link opens. Agents report each running run with every message, and entries passed over reports of runs that they hadn't placed.

Change: such a run is stopped and counted, unless a stop of it was sent in the last 200 ms, since report and stop then have crossed. Agents no longer report runs that they are stopping, and a repeated stop doesn't reach the backend server twice.

Tests: a_reported_run_that_the_entry_doesn_t_have_is_stopped and a_stopped_run_that_is_still_reported_is_stopped_again_after_a_while fail without the call that stops such runs.

--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -55,11 +55,37 @@
         self.requeue_missing_runs(now, &agent, |run| kept_runs.contains(run));
         for run in &hello.runs {
             if self.placed_run(run, &agent).is_none() {
-                self.actions.push(Action::Stop(link, run.clone()));
+                self.send_stop(now, &agent, run.clone());
             }
         }
     }
 
+    /// Sends a stop to an agent; returns false if there is no link to it.
+    pub(super) fn send_stop(&mut self, now: time::Duration, agent: &str, run: Run) -> bool {
+        let Some(view) = self.agents.get_mut(agent) else {
+            return false;
+        };
+        let Some(link) = view.link else {
+            return false;
+        };
+        view.stops.record(now, run.clone());
+        self.actions.push(Action::Stop(link, run));
+        true
+    }
+
+    /// Stops a run that an agent reports and this entry doesn't have, unless its stop may still be under way.
+    /// Nothing else ends such a run while the link is up, and its task may run elsewhere.
+    pub(super) fn stop_unknown_run(&mut self, now: time::Duration, agent: &str, run: &Run) {
+        let is_stopped = |view: &AgentView| view.stops.contains(now, run);
+        if self.agents.get(agent).is_none_or(is_stopped) {
+            return;
+        }
+        self.counts.unknown_runs += 1;
+        log::warn!(job = run.job.as_str(), task = run.task, run = run.number, agent = agent;
+            "agent reports a run that isn't known; stopping it");
+        self.send_stop(now, agent, run.clone());
+    }
+
     /// Whether the entry has had time to link to its agents since its start: no new link has come up for
     /// [`LINKS_QUIET_FOR`], or [`MAX_LINKS_WAIT`] has passed. Before that the entry knows too little of the
     /// room, and would refuse work that the next agent to connect accepts.
--- a/src/decide/besteffort/board/endings.rs
+++ b/src/decide/besteffort/board/endings.rs
@@ -34,7 +34,7 @@
 
     /// Answers the caller of a job, and stops the job's runs.
     pub(super) fn finish_job(&mut self, now: time::Duration, no: JobNo, outcome: Outcome) {
-        let Some(job) = self.remove_job(no) else {
+        let Some(job) = self.remove_job(now, no) else {
             return;
         };
         let outcome = match outcome {
@@ -63,20 +63,17 @@
     }
 
     /// Removes a job without an answer, and stops its runs.
-    pub(super) fn remove_job(&mut self, no: JobNo) -> Option<Job> {
+    pub(super) fn remove_job(&mut self, now: time::Duration, no: JobNo) -> Option<Job> {
         let job = self.jobs.remove(&no)?;
         self.by_id.remove(&job.submission.job);
         for task in 0..job.submission.tasks {
             self.queue.remove(&job.queue_key(no, task));
         }
         for (run, placed) in job.placed_runs() {
-            let Some(view) = self.agents.get_mut(&placed.agent) else {
-                continue;
-            };
-            view.runs_ended(1);
-            if let Some(link) = view.link {
-                self.actions.push(Action::Stop(link, run));
+            if let Some(view) = self.agents.get_mut(&placed.agent) {
+                view.runs_ended(1);
             }
+            self.send_stop(now, &placed.agent, run);
         }
         Some(job)
     }
--- a/src/decide/besteffort/board/mod.rs
+++ b/src/decide/besteffort/board/mod.rs
@@ -89,6 +89,8 @@
     pub moved_runs: u64,
     /// Runs that were lost with an agent or its backend server.
     pub lost_runs: u64,
+    /// Runs that agents reported, that the entry didn't have, and that it stopped.
+    pub unknown_runs: u64,
     /// Jobs that were given up because backend servers crash under one of their tasks.
     pub crashing_jobs: u64,
     /// Tasks that went before more urgent ones because their class would have starved, by class.
@@ -308,7 +310,7 @@
             if job.is_late() {
                 self.late_outcomes.record(now, false);
             }
-            self.remove_job(no);
+            self.remove_job(now, no);
             self.dispatch(now);
         }
     }
--- a/src/decide/besteffort/board/rescue.rs
+++ b/src/decide/besteffort/board/rescue.rs
@@ -6,7 +6,7 @@
 
 use std::time;
 
-use crate::decide::besteffort::board::{Action, Board};
+use crate::decide::besteffort::board::Board;
 use crate::decide::besteffort::job::{JobNo, PlacedRun};
 use crate::decide::besteffort::message::{Progress, Run};
 
@@ -19,6 +19,7 @@
         progress: &Progress,
     ) {
         let Some((no, placed)) = self.placed_run(&progress.run, agent) else {
+            self.stop_unknown_run(now, agent, &progress.run);
             return;
         };
         if progress.percent != placed.percent {
@@ -92,14 +93,14 @@
                 agent = placed.agent.as_str(), percent = placed.percent, age_ms = age.as_millis() as u64,
                 slowness = (slowness * 100.0).round() / 100.0, standing = is_stalled, elsewhere_ms = (seconds_elsewhere * 1e3) as u64;
                 "moving a run");
-            self.move_run(no, run, placed);
+            self.move_run(now, no, run, placed);
         }
     }
 
-    fn move_run(&mut self, no: JobNo, run: &Run, placed: &PlacedRun) {
-        let Some(link) = self.agents.get(&placed.agent).and_then(|view| view.link) else {
+    fn move_run(&mut self, now: time::Duration, no: JobNo, run: &Run, placed: &PlacedRun) {
+        if !self.send_stop(now, &placed.agent, run.clone()) {
             return;
-        };
+        }
         if let Some((_, placed)) = self.placed_run(run, &placed.agent) {
             placed.is_moving = true;
         }
@@ -107,6 +108,5 @@
             job.moved_runs += 1;
         }
         self.counts.moved_runs += 1;
-        self.actions.push(Action::Stop(link, run.clone()));
     }
 }
--- a/src/decide/besteffort/mod.rs
+++ b/src/decide/besteffort/mod.rs
@@ -1,7 +1,8 @@
 //! Decisions for best-effort jobs. Such jobs are stored nowhere and are answered when they have ended.
 //!
 //! The entry that receives a job is its only owner. [`board`] holds the entry's jobs, places their tasks on
-//! agents and decides what the loss of an agent means. [`view`] is what an entry knows of one agent.
+//! agents and decides what the loss of an agent means. [`view`] is what an entry knows of one agent, and
+//! [`recent_stops`] the stops that it has lately sent there.
 //! [`learn`] turns run times into estimates. [`earlier_wait`] recognises callers that submit a job again, and
 //! [`flow`] measures the rate at which an entry gets room. [`subset`] chooses the agents that the entry links
 //! to, [`asking`] which of these to ask for room, and [`draw`] picks one of several agents that suit a task
@@ -31,6 +32,7 @@
 pub mod message;
 pub mod pace;
 pub mod policy;
+pub mod recent_stops;
 pub mod recovery;
 pub mod sharing;
 pub mod slots;
--- /dev/null
+++ b/src/decide/besteffort/recent_stops.rs
@@ -0,0 +1,41 @@
+//! The stops that an entry has lately sent to one agent.
+
+use std::collections::VecDeque;
+use std::time;
+
+use crate::decide::besteffort::message::Run;
+
+/// How long a stop may be under way before its run, if the agent still reports it, is stopped again. An agent
+/// whose machine has used up its share of the processor reads a message up to 100 ms late, and has sent the
+/// report about as long before.
+const REPEAT_AFTER: time::Duration = time::Duration::from_millis(200);
+
+/// Remembers each stop until it may be repeated.
+#[derive(Clone, Debug, Default)]
+pub struct RecentStops {
+    /// The stops by age, the oldest first.
+    sent: VecDeque<(time::Duration, Run)>,
+}
+
+impl RecentStops {
+    /// Records that a stop is sent now.
+    pub fn record(&mut self, now: time::Duration, run: Run) {
+        let is_old = |(at, _): &(time::Duration, Run)| now >= *at + REPEAT_AFTER;
+        while self.sent.front().is_some_and(is_old) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((now, run));
+    }
+
+    /// Whether a stop of the run may still be under way.
+    pub fn contains(&self, now: time::Duration, run: &Run) -> bool {
+        let recent = self.sent.iter().rev();
+        let mut recent = recent.take_while(|(at, _)| now < *at + REPEAT_AFTER);
+        recent.any(|(_, sent)| sent == run)
+    }
+
+    /// Forgets all stops, since their link has ended and they may be lost.
+    pub fn clear(&mut self) {
+        self.sent.clear();
+    }
+}
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -146,15 +146,16 @@
     /// Handles an entry's request to end its run. Returns whether the agent holds that run.
     pub fn withdraw(&mut self, now: time::Duration, name: &EntryIncarnation, run: &Run) -> bool {
         let is_held = self.held.get(run).is_some_and(|held| held.entry == *name);
-        if is_held {
+        let is_ending = |held: &HeldRun| held.must_end_since.is_some();
+        if is_held && !self.held.get(run).is_some_and(is_ending) {
             self.require_end(now, run);
             self.dispatch_waiting(now);
         }
         is_held
     }
 
-    /// Composes the next message to an entry: free room, ends, crashes and the progress of its runs. What is
-    /// put into it counts as sent.
+    /// Composes the next message to an entry: free room, ends, crashes and the progress of its runs, but not of
+    /// those that are being stopped. What is put into it counts as sent.
     pub fn next_message(&mut self, name: &EntryIncarnation, now: time::Duration) -> AgentMessage {
         let now_ms = now.as_millis() as u64;
         let mut message = AgentMessage {
@@ -174,7 +175,9 @@
         }
         message.pace = self.pace_to_tell(name);
         let runs = self.held.iter().filter(|(_, held)| held.entry == *name);
-        let running = runs.filter(|(_, held)| held.state == State::Running);
+        let goes_on =
+            |held: &HeldRun| held.state == State::Running && held.must_end_since.is_none();
+        let running = runs.filter(|(_, held)| goes_on(held));
         message.progress = running
             .map(|(run, held)| Progress {
                 run: run.clone(),
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -8,6 +8,7 @@
 use crate::decide::besteffort::job::{LinkNo, LATE_PRIORITY};
 use crate::decide::besteffort::message::{AgentMessage, Backend, Room};
 use crate::decide::besteffort::policy;
+use crate::decide::besteffort::recent_stops::RecentStops;
 use crate::decide::besteffort::told;
 use crate::id;
 
@@ -38,6 +39,8 @@
     pub heard_at: time::Duration,
     /// Number of runs of this entry that were sent to the agent and haven't ended.
     pub run_count: u32,
+    /// The stops that were lately sent on the present link.
+    pub stops: RecentStops,
     /// Number of entries that compete for the agent's room, this one included.
     pub competing_entries: u32,
     /// Free room as the agent last reported it, less lent room that the entry didn't use.
@@ -81,6 +84,7 @@
             largest_size: Room::default(),
             heard_at: now,
             run_count: 0,
+            stops: RecentStops::default(),
             competing_entries: 1,
             free: Room::default(),
             lent: Room::default(),
@@ -101,6 +105,7 @@
         self.heard_at = now;
         self.starts_sent = 0;
         self.unread_starts.clear();
+        self.stops.clear();
         self.demand = None;
         self.unreported_starts.clear();
     }
--- a/tests/besteffort_board.rs
+++ b/tests/besteffort_board.rs
@@ -390,6 +390,72 @@
     assert_ne!(other, link);
 }
 
+/// Returns the stops that the board has decided since the last call.
+fn stops(board: &mut Board) -> Vec<(u64, Run)> {
+    let actions = board.take_actions().into_iter();
+    let stops = actions.filter_map(|action| match action {
+        Action::Stop(link, run) => Some((link, run)),
+        _ => None,
+    });
+    stops.collect()
+}
+
+/// Handles an agent's report that a run goes on.
+fn report(board: &mut Board, at: u64, link: u64, run: &Run) {
+    let mut message = message(0, 1);
+    message.progress.push(Progress {
+        run: run.clone(),
+        percent: 10,
+        age_ms: 10,
+    });
+    board.handle_message(ms(at), link, &message);
+}
+
+/// Guards against a run that goes on while the link to its entry is up, which has no such run: its job is unknown there,
+/// or its task has a later run.
+#[test]
+fn a_reported_run_that_the_entry_doesn_t_have_is_stopped() {
+    let mut board = open(2, 4);
+    submit(&mut board, START, submission("job", 1, 0));
+    let (link, start) = starts(&mut board).remove(0);
+    report(&mut board, START + 10, link, &start.run);
+    assert_eq!(stops(&mut board), [], "the entry waits for it");
+    let earlier = Run {
+        number: 0,
+        ..start.run.clone()
+    };
+    let unknown = Run {
+        job: "unknown".into(),
+        ..start.run.clone()
+    };
+    for run in [earlier, unknown] {
+        report(&mut board, START + 20, link, &run);
+        assert_eq!(stops(&mut board), [(link, run)]);
+    }
+    report(&mut board, START + 20, 3 - link, &start.run);
+    let elsewhere = [(3 - link, start.run)];
+    assert_eq!(stops(&mut board), elsewhere, "it belongs to another agent");
+    assert_eq!(board.counts.unknown_runs, 3);
+}
+
+/// Guards against a stop with each message of an agent that hasn't read the first one yet, and against a run that goes on
+/// because its stop was lost.
+#[test]
+fn a_stopped_run_that_is_still_reported_is_stopped_again_after_a_while() {
+    let mut board = open(1, 4);
+    let no = submit(&mut board, START, submission("job", 1, 0));
+    let (link, start) = starts(&mut board).remove(0);
+    board.caller_left(ms(START + 50), no);
+    let stop = [(link, start.run.clone())];
+    assert_eq!(stops(&mut board), stop);
+    for at in (START + 50..START + 250).step_by(25) {
+        report(&mut board, at, link, &start.run);
+        assert_eq!(stops(&mut board), [], "{} ms after it", at - START - 50);
+    }
+    report(&mut board, START + 250, link, &start.run);
+    assert_eq!(stops(&mut board), stop);
+}
+
 /// Guards against starts for callers that have left. An entry that was suspended resumes with many messages
 /// waiting; callers may have left meanwhile, and their jobs may run elsewhere. So it starts nothing until the
 /// sockets have shown which callers left.
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -157,6 +157,21 @@
     assert_eq!(slots.take_orders(), [stop(run(0, 1))]);
 }
 
+/// Guards against stops that are sent to the backend server twice because the entry repeats them, and against reports of a
+/// run that is being stopped, which make the entry do so.
+#[test]
+fn a_run_that_is_being_stopped_is_neither_reported_nor_stopped_again_at_once() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    let reported = |slots: &mut Slots| slots.next_message(&entry(1), ms(START + 5)).progress.len();
+    assert_eq!(reported(&mut slots), 1);
+    assert!(slots.withdraw(ms(START + 10), &entry(1), &run(0, 1)));
+    assert_eq!(slots.take_orders(), [stop(run(0, 1))]);
+    assert!(slots.withdraw(ms(START + 12), &entry(1), &run(0, 1)));
+    assert_eq!(slots.take_orders(), []);
+    assert_eq!(reported(&mut slots), 0);
+}
+
 /// Guards against a task that is reported as not run but runs: its start had no answer and is carried out
 /// seconds later. The run counts as present until a stop is answered and a later listing doesn't contain it.
 #[test]
