Begin no waiting start whose entry is silent or whose deadline has passed

Cause: the silence of a start's entry and its deadline were looked at in the periodic check only. After a standstill the first check is skipped, so that what has arrived is read first, and that is the listing that shows room. A link that was opened during the freeze besides made the entry count as heard.

Change: a start is checked against both when it would begin, and what waited while its entry was silent is returned before a new link of it counts. Returning each start at its longest wait was tried and left out: it leaves room unused that is there by then.

Tests: a_start_that_waited_through_a_standstill_never_begins and a_start_never_begins_after_its_deadline fail without the change.

--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -14,6 +14,7 @@
     /// Handles a new link of an entry. Returns the hello that the agent answers with: the entry's runs that are
     /// held here and its most recent ends. The caller fills in the agent's identity.
     pub fn entry_connected(&mut self, now: time::Duration, name: &EntryIncarnation) -> Hello {
+        self.return_expired_starts(now, name);
         let entry = self.entries.entry(name.clone()).or_default();
         entry.unsent_ends.clear();
         entry.waiting_work = None;
@@ -35,6 +36,20 @@
         }
     }
 
+    /// Returns the starts of an entry that may no longer begin. A link that was opened while the agent stood still
+    /// says nothing about them.
+    fn return_expired_starts(&mut self, now: time::Duration, name: &EntryIncarnation) {
+        let waiting = self.waiting.iter().map(|(.., run)| run);
+        let is_expired = |run: &&Run| {
+            let held = self.held.get(*run).filter(|held| held.entry == *name);
+            held.is_some_and(|held| self.is_start_expired(now, held))
+        };
+        let expired: Vec<Run> = waiting.filter(is_expired).cloned().collect();
+        for run in expired {
+            self.end_run(now, &run, RunOutcome::NotRun);
+        }
+    }
+
     /// Handles the end of an entry's link: with the feature `demand`, what waits there no longer counts, and its loan
     /// ends. Nothing else would clear them before the entry's next link.
     pub fn entry_disconnected(&mut self, name: &EntryIncarnation) {
--- a/src/decide/besteffort/slots/mod.rs
+++ b/src/decide/besteffort/slots/mod.rs
@@ -280,15 +280,16 @@
         let mut overdue = Vec::new();
         let mut returned = Vec::new();
         for (run, held) in &self.held {
-            let silent = self
-                .entries
-                .get(&held.entry)
-                .is_none_or(|e| now >= e.alive_until);
+            if held.state == State::Waiting {
+                let waited = now.saturating_sub(held.since);
+                if waited >= millis(held.start.max_wait_ms) || self.is_start_expired(now, held) {
+                    returned.push(run.clone());
+                }
+                continue;
+            }
+            let silent = self.is_silent(now, &held.entry);
             let past = now >= millis(held.start.deadline_ms);
-            let waited = now.saturating_sub(held.since) >= millis(held.start.max_wait_ms);
-            if held.state == State::Waiting && waited {
-                returned.push(run.clone());
-            } else if (silent || past) && held.must_end_since.is_none() {
+            if (silent || past) && held.must_end_since.is_none() {
                 log::info!(job = run.job.as_str(), task = run.task, run = run.number,
                     entry = held.entry.entry.as_str(), silent = silent, past_deadline = past;
                     "ending a run that nobody waits for");
@@ -309,6 +310,18 @@
         self.dispatch_waiting(now);
     }
 
+    /// Whether an entry hasn't been heard for so long that its runs have to end.
+    fn is_silent(&self, now: time::Duration, entry: &EntryIncarnation) -> bool {
+        let entry = self.entries.get(entry);
+        entry.is_none_or(|entry| now >= entry.alive_until)
+    }
+
+    /// Whether a start that waits for room may no longer begin: its deadline has passed, or its entry is silent and
+    /// may start the task elsewhere, as after a standstill of the agent.
+    fn is_start_expired(&self, now: time::Duration, held: &HeldRun) -> bool {
+        now >= millis(held.start.deadline_ms) || self.is_silent(now, &held.entry)
+    }
+
     /// Returns and clears the orders for the backend server that were decided since the last call.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
@@ -395,7 +408,13 @@
         let considered = self.waiting.iter().take(MAX_STARTS_CONSIDERED);
         let considered: Vec<Run> = considered.map(|(.., run)| run.clone()).collect();
         for run in considered {
-            self.start_if_fits(now, &run);
+            // The next check of the time bounds may come later than the room that this start waits for.
+            let held = self.held.get(&run);
+            if held.is_some_and(|held| self.is_start_expired(now, held)) {
+                self.end_run(now, &run, RunOutcome::NotRun);
+            } else {
+                self.start_if_fits(now, &run);
+            }
         }
         for run in self.surplus_suspects(now) {
             self.end_run(now, &run, RunOutcome::NotRun);
--- a/tests/besteffort_sim/main.rs
+++ b/tests/besteffort_sim/main.rs
@@ -130,6 +130,13 @@
     assert!(found.is_empty(), "{found:?}");
 }
 
+/// Guards against two runs of a task whose start waited at an agent while that stood still.
+#[test]
+fn no_task_runs_twice_where_full_agents_stand_still() {
+    let found = doubles(Guards::default(), Faults::freezes_of_full_agents());
+    assert!(found.is_empty(), "{found:?}");
+}
+
 /// Shows that the search above meets what it looks for: backend servers that carry out a start although the run, or a
 /// later one of its task, has ended there.
 #[test]
--- a/tests/besteffort_sim/world.rs
+++ b/tests/besteffort_sim/world.rs
@@ -117,6 +117,9 @@
     server: Server,
     clean: bool,
     born: Ms,
+    /// When its time bounds were last checked, and whether that check was skipped after a standstill.
+    checked_at: Ms,
+    skipped_check: bool,
     /// The crashes that its row tells of.
     listed_crashes: Vec<Crash>,
 }
--- a/tests/besteffort_sim/world/agents.rs
+++ b/tests/besteffort_sim/world/agents.rs
@@ -15,6 +15,9 @@
 /// How long a start may go unanswered before it is sent once more.
 const RESEND_AFTER: Ms = 20;
 
+/// A check of the time bounds that is later than this by more than its interval is skipped once, as agents do.
+const MIN_STANDSTILL: Ms = 40;
+
 impl World {
     /// The clock of a life that begins now; it may begin anywhere.
     pub(super) fn new_clock(&mut self) -> Clock {
@@ -37,6 +40,8 @@
             server,
             clean: false,
             born: self.now,
+            checked_at: self.now,
+            skipped_check: false,
             listed_crashes: Vec::new(),
         }
     }
@@ -59,7 +64,12 @@
         {
             agent.clean = true;
         }
-        agent.slots.tick(now);
+        let stood_still = self.now > agent.checked_at + 2 * TICK + MIN_STANDSTILL;
+        agent.checked_at = self.now;
+        agent.skipped_check = self.faults.skips_late_checks && !agent.skipped_check && stood_still;
+        if !agent.skipped_check {
+            agent.slots.tick(now);
+        }
         self.ask_for_list(a);
         self.flush_agent(a);
         self.list_crashes(a);
--- a/tests/besteffort_sim/world/faults.rs
+++ b/tests/besteffort_sim/world/faults.rs
@@ -126,6 +126,8 @@
     pub(super) resends: bool,
     /// Whether entries write to agents some time after they have decided, all that there is by then in one message.
     pub(super) busy_entries: bool,
+    /// Whether agents skip the first check of their time bounds after a standstill.
+    pub(super) skips_late_checks: bool,
 }
 
 /// What becomes of orders that are carried out seconds late where the life that they left for is dead.
@@ -154,6 +156,7 @@
             picks: false,
             resends: false,
             busy_entries: false,
+            skips_late_checks: false,
         }
     }
 }
@@ -284,6 +287,23 @@
         }
     }
 
+    /// Agents that stand still while starts wait there for room, beside entries that die.
+    pub fn freezes_of_full_agents() -> Faults {
+        Faults {
+            every: 250,
+            longest: 2_000,
+            kinds: &[
+                Kind::FreezeAgent,
+                Kind::FreezeAgent,
+                Kind::FreezeAgent,
+                Kind::KillEntry,
+            ],
+            small: true,
+            skips_late_checks: true,
+            ..Faults::default()
+        }
+    }
+
     /// Callers that leave busy entries together, beside faults of links and agents and starts that are sent twice.
     pub fn callers_leave_busy_entries() -> Faults {
         Faults {
--- a/tests/besteffort_slots.rs
+++ b/tests/besteffort_slots.rs
@@ -242,6 +242,51 @@
     assert_eq!(slots.counts.stops_unmatched, 0);
 }
 
+/// Guards against two runs of one task: an agent stands still while starts wait there for room, their entry starts the tasks
+/// elsewhere, and a listing that is read first after the standstill shows room for them.
+#[test]
+fn a_start_that_waited_through_a_standstill_never_begins() {
+    let silence = Bounds::default().silence.as_millis() as u64;
+    for (woken, entry_is_back) in [(silence, false), (1_300, false), (1_300, true)] {
+        let mut slots = open();
+        begin(&mut slots, START, run(0, 1));
+        begin(&mut slots, START, run(1, 2));
+        slots.start_requested(ms(START), &entry(1), true, start(run(2, 3), START));
+        let woken = START + woken;
+        if entry_is_back {
+            let hello = slots.entry_connected(ms(woken), &entry(1));
+            assert!(!hello.runs.contains(&run(2, 3)), "{hello:?}");
+        }
+        slots.listing_received(ms(woken), ms(woken), listing(woken, &[run(1, 2)]));
+        assert_eq!(slots.take_orders(), [], "after {} ms", woken - START);
+        let ends = ends(&mut slots, woken);
+        assert!(
+            entry_is_back || ends.contains(&(run(2, 3), RunOutcome::NotRun)),
+            "{ends:?}"
+        );
+    }
+}
+
+/// Guards against a run that begins after its caller has stopped waiting, since room became free before the time bounds
+/// were checked.
+#[test]
+fn a_start_never_begins_after_its_deadline() {
+    let mut slots = open();
+    begin(&mut slots, START, run(0, 1));
+    begin(&mut slots, START, run(1, 2));
+    let deadline = START + 100;
+    let late = Start {
+        deadline_ms: deadline,
+        ..start(run(2, 3), START)
+    };
+    slots.start_requested(ms(START), &entry(1), true, late);
+    let nearly = listing(deadline, &[run(1, 2)]);
+    slots.listing_received(ms(deadline), ms(deadline), nearly);
+    assert_eq!(slots.take_orders(), []);
+    let ends = ends(&mut slots, deadline);
+    assert!(ends.contains(&(run(2, 3), RunOutcome::NotRun)), "{ends:?}");
+}
+
 /// Guards against starts on a full backend server: one that checks its room refuses them, another one is
 /// overloaded. Room is freed only when an end is listed, also that of a stopped run.
 #[test]
