Name recent stops and state their reason in the agents' view

Reading the change as a newcomer: one early return in Slots::withdraw, the field of the view named after its type, and the reasons of a constant and of a lookup in plainer words. No change in behaviour.

--- a/src/decide/besteffort/board/agents.rs
+++ b/src/decide/besteffort/board/agents.rs
@@ -68,7 +68,7 @@
         let Some(link) = view.link else {
             return false;
         };
-        view.stops.record(now, run.clone());
+        view.recent_stops.record(now, run.clone());
         self.actions.push(Action::Stop(link, run));
         true
     }
@@ -76,7 +76,7 @@
     /// Stops a run that an agent reports and this entry doesn't have, unless its stop may still be under way.
     /// Nothing else ends such a run while the link is up, and its task may run elsewhere.
     pub(super) fn stop_unknown_run(&mut self, now: time::Duration, agent: &str, run: &Run) {
-        let is_stopped = |view: &AgentView| view.stops.contains(now, run);
+        let is_stopped = |view: &AgentView| view.recent_stops.contains(now, run);
         if self.agents.get(agent).is_none_or(is_stopped) {
             return;
         }
--- a/src/decide/besteffort/recent_stops.rs
+++ b/src/decide/besteffort/recent_stops.rs
@@ -5,9 +5,8 @@
 
 use crate::decide::besteffort::message::Run;
 
-/// How long a stop may be under way before its run, if the agent still reports it, is stopped again. An agent
-/// whose machine has used up its share of the processor reads a message up to 100 ms late, and has sent the
-/// report about as long before.
+/// How long after a stop its run may still be reported before it is stopped again. A machine that has used up its
+/// share of the processor stands still for up to 100 ms, so that the stop is read and the next report is written late.
 const REPEAT_AFTER: time::Duration = time::Duration::from_millis(200);
 
 /// Remembers each stop until it may be repeated.
--- a/src/decide/besteffort/slots/entries.rs
+++ b/src/decide/besteffort/slots/entries.rs
@@ -77,7 +77,7 @@
         let fresh = self.message_received(now, name, message.seen_ms);
         let mut starts = message.starts;
         for run in &message.stops {
-            // A stop comes after its start, also where both are in one message.
+            // Its start may be in the same message, and was decided before it.
             if let Some(index) = starts.iter().position(|start| start.run == *run) {
                 self.hold_start(now, name, starts.remove(index));
             }
@@ -137,7 +137,7 @@
         self.dispatch_waiting(now);
     }
 
-    /// Lets a start wait for room. Returns whether it is new: a run that the agent already holds stays as it is.
+    /// Adds a start to those that wait for room. Returns false if the agent already holds its run, which stays as it is.
     fn hold_start(&mut self, now: time::Duration, name: &EntryIncarnation, start: Start) -> bool {
         if self.held.contains_key(&start.run) {
             return false;
@@ -160,13 +160,15 @@
 
     /// Handles an entry's request to end its run. Returns whether the agent holds that run.
     pub fn withdraw(&mut self, now: time::Duration, name: &EntryIncarnation, run: &Run) -> bool {
-        let is_held = self.held.get(run).is_some_and(|held| held.entry == *name);
-        let is_ending = |held: &HeldRun| held.must_end_since.is_some();
-        if is_held && !self.held.get(run).is_some_and(is_ending) {
+        let held = self.held.get(run).filter(|held| held.entry == *name);
+        let Some(held) = held else {
+            return false;
+        };
+        if held.must_end_since.is_none() {
             self.require_end(now, run);
             self.dispatch_waiting(now);
         }
-        is_held
+        true
     }
 
     /// Composes the next message to an entry: free room, ends, crashes and the progress of its runs, but not of
--- a/src/decide/besteffort/view.rs
+++ b/src/decide/besteffort/view.rs
@@ -40,7 +40,7 @@
     /// Number of runs of this entry that were sent to the agent and haven't ended.
     pub run_count: u32,
     /// The stops that were lately sent on the present link.
-    pub stops: RecentStops,
+    pub recent_stops: RecentStops,
     /// Number of entries that compete for the agent's room, this one included.
     pub competing_entries: u32,
     /// Free room as the agent last reported it, less lent room that the entry didn't use.
@@ -84,7 +84,7 @@
             largest_size: Room::default(),
             heard_at: now,
             run_count: 0,
-            stops: RecentStops::default(),
+            recent_stops: RecentStops::default(),
             competing_entries: 1,
             free: Room::default(),
             lent: Room::default(),
@@ -105,7 +105,7 @@
         self.heard_at = now;
         self.starts_sent = 0;
         self.unread_starts.clear();
-        self.stops.clear();
+        self.recent_stops.clear();
         self.demand = None;
         self.unreported_starts.clear();
     }
