Give scripted workers as long as the test to answer

Cause: the test is wrong, not the client. The client gives an order up 50 ms after it was sent, and the worker, in the same process, had not been scheduled by then. A server that refuses connections besides let go of its port, which another copy then took.

Change: a worker that answers, closes or refuses has as long as the test, and only one that never answers meets the time limits of orders. The cases and the answers that they require are unchanged.

--- a/tests/contract_users_platform.rs
+++ b/tests/contract_users_platform.rs
@@ -53,10 +53,20 @@
     }
 }
 
+/// Returns a client of a worker that follows a script. One that answers has as long as the test, however busy the machine
+/// is; only one that never answers meets the time limits of orders.
 async fn worker_at(script: Script) -> (ScriptedServer, BackendServer) {
+    let limits = if script.server == ServerAction::Hang {
+        OrderLimits::default()
+    } else {
+        OrderLimits {
+            timeout: support::HANG,
+            resend_after: support::HANG,
+        }
+    };
     let server = ScriptedServer::bind(script).await;
     let addr = server.addr().parse().expect("an address");
-    (server, worker::open(addr))
+    (server, worker::open_with_limits(addr, limits))
 }
 
 async fn store_at(script: Script) -> (ScriptedServer, Store) {
--- a/tests/support/script.rs
+++ b/tests/support/script.rs
@@ -7,7 +7,7 @@
 
 use serde::Deserialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// How the server handles a connection.
@@ -56,11 +56,16 @@
     1
 }
 
+/// Connections that wait to be accepted, more than any test opens at a time.
+const BACKLOG: u32 = 128;
+
 /// A running server; counts the requests that it read.
 pub struct ScriptedServer {
     addr: net::SocketAddr,
     requests: Arc<AtomicU64>,
     serving: Option<JoinHandle<()>>,
+    /// The port of a server that refuses connections: bound, so that nobody else gets it, and not listening.
+    _refusing: Option<TcpSocket>,
 }
 
 impl ScriptedServer {
@@ -72,26 +77,34 @@
     /// Binds a server that follows the next script on each new connection, and the last script on all further
     /// connections.
     pub async fn bind_sequence(scripts: Vec<Script>) -> ScriptedServer {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let addr = socket.local_addr().unwrap();
         let requests: Arc<AtomicU64> = Arc::default();
+        if scripts[0].server == ServerAction::Refuse {
+            return ScriptedServer {
+                addr,
+                requests,
+                serving: None,
+                _refusing: Some(socket),
+            };
+        }
+        let listener = socket.listen(BACKLOG).unwrap();
         let counting = requests.clone();
-        // Without a task the listener is dropped, and the port refuses connections.
-        let serving = (scripts[0].server != ServerAction::Refuse).then(|| {
-            tokio::spawn(async move {
-                let mut connection = 0;
-                loop {
-                    let (stream, _) = listener.accept().await.unwrap();
-                    let script = scripts[connection.min(scripts.len() - 1)].clone();
-                    connection += 1;
-                    tokio::spawn(serve(stream, script, counting.clone()));
-                }
-            })
+        let serving = tokio::spawn(async move {
+            let mut connection = 0;
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let script = scripts[connection.min(scripts.len() - 1)].clone();
+                connection += 1;
+                tokio::spawn(serve(stream, script, counting.clone()));
+            }
         });
         ScriptedServer {
             addr,
             requests,
-            serving,
+            serving: Some(serving),
+            _refusing: None,
         }
     }
 
